--- /dev/null
+++ b/cmd/bulrushctl/hosts.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"bulrushshed/jsonhttp"
+	"bulrushshed/operator"
+	"bulrushshed/platform"
+)
+
+const (
+	defaultHost = "127.0.1.1:8081"
+	hostTimeout = 5 * time.Second
+)
+
+// askHost reads from an entry host's surface for operators.
+func askHost(host, path string, out any) error {
+	client := jsonhttp.NewClient(jsonhttp.DefaultOptions())
+	return client.Call(jsonhttp.Request{Method: http.MethodGet, URL: "http://" + host + path, Timeout: hostTimeout}, nil, out)
+}
+
+type statusCommand struct {
+	host string
+	json bool
+	text bool
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "show what an entry host knows and does" }
+func (*statusCommand) Usage() string {
+	return "bulrushctl status [-json] [-text] [-host 127.0.1.1:8081]\n"
+}
+
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.host, "host", defaultHost, "operators' address of an entry host")
+	f.BoolVar(&c.json, "json", false, "print as JSON")
+	f.BoolVar(&c.text, "text", false, "print the rule file in force")
+}
+
+func (c *statusCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	var s operator.Status
+	if err := askHost(c.host, fmt.Sprintf("/v1/status?text=%t", c.text), &s); err != nil {
+		return fail(exitUnavailable, err, "name a host that is up with -host")
+	}
+	if c.json {
+		return printJSON(s)
+	}
+	if c.text {
+		fmt.Print(withVersion(s.RulesText, s.Rules.Version))
+		return subcommands.ExitSuccess
+	}
+	printStatus(s)
+	return subcommands.ExitSuccess
+}
+
+func printStatus(s operator.Status) {
+	fmt.Printf("%s in %s, rules version %d, log read to %d, %d requests, %d claims\n",
+		s.Name, s.FailureDomain, s.Rules.Version, s.Rules.ReadTo, s.Requests, s.Claims)
+	if s.Draining {
+		fmt.Println("this host is stopping")
+	}
+	if s.Rules.Failure != "" {
+		fmt.Println("the log can't be read:", s.Rules.Failure)
+	}
+	if s.PlatformFailure != "" {
+		fmt.Println("the list of hosts can't be read:", s.PlatformFailure)
+	}
+	for _, h := range s.Hosts {
+		fmt.Printf("%-8s %-12s %-6s %-22s %s\n", h.Role, h.Name, h.FailureDomain, h.Address, standing(h.Leaving, h.Suspected, h.Reporting, h.Role))
+	}
+}
+
+func standing(leaving, suspected, reporting bool, role platform.Role) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case suspected:
+		return "failed lately"
+	case role == platform.RoleEngine && !reporting:
+		return "sends no status"
+	}
+	return "live"
+}
+
+type explainCommand struct {
+	host  string
+	json  bool
+	query operator.Query
+}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "show what would become of a request, and why" }
+func (*explainCommand) Usage() string {
+	return "bulrushctl explain -customer puebla (-path /dispatch/confirm | -model assistant)\n"
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.host, "host", defaultHost, "operators' address of an entry host")
+	f.BoolVar(&c.json, "json", false, "print as JSON")
+	f.StringVar(&c.query.Customer, "customer", "", "customer")
+	f.StringVar(&c.query.Path, "path", "", "path of a call")
+	f.StringVar(&c.query.Model, "model", "", "model of a completion")
+}
+
+func (c *explainCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if (c.query.Path == "") == (c.query.Model == "") {
+		return fail(subcommands.ExitUsageError, fmt.Errorf("got path %q and model %q, want one of them", c.query.Path, c.query.Model), c.Usage())
+	}
+	values := url.Values{"customer": {c.query.Customer}, "path": {c.query.Path}, "model": {c.query.Model}}
+	var e operator.Explanation
+	if err := askHost(c.host, "/v1/explain?"+values.Encode(), &e); err != nil {
+		return fail(exitUnavailable, err, "name a host that is up with -host")
+	}
+	if c.json {
+		return printJSON(e)
+	}
+	printExplanation(e)
+	return subcommands.ExitSuccess
+}
+
+func printExplanation(e operator.Explanation) {
+	fmt.Printf("rules version %d\n", e.Version)
+	if e.Class != nil {
+		fmt.Printf("class %s: service %s, idempotent %t, deadline %s (line %d, %s: %s)\n",
+			e.Class.Name, e.Class.Service, e.Class.Idempotent, e.Class.Deadline, e.Class.Origin.Line, e.Class.Origin.Who, e.Class.Origin.Why)
+	}
+	if e.Model != nil {
+		fmt.Printf("model %s version %s, %d layers, objective %s (line %d, %s: %s)\n",
+			e.Model.Name, e.Model.Version, e.Model.Layers, e.Model.Objective, e.Model.Origin.Line, e.Model.Origin.Who, e.Model.Origin.Why)
+	}
+	if e.Limit != nil {
+		fmt.Printf("limit %g/s, burst %g (line %d, %s: %s)\n",
+			e.Limit.Rate, e.Limit.Burst, e.Limit.Origin.Line, e.Limit.Origin.Who, e.Limit.Origin.Why)
+	}
+	if e.Refused != "" {
+		fmt.Println("refused:", e.Refused)
+	}
+	if e.Route != nil {
+		for _, h := range e.Route.Hops {
+			fmt.Printf("  layers %d-%d on %s\n", h.Layers.From, h.Layers.To, h.Endpoint)
+		}
+	}
+	for _, c := range e.Candidates {
+		why := c.Why
+		if why == "" {
+			why = "used"
+		}
+		fmt.Printf("%-12s %-6s %s\n", c.Endpoint, c.FailureDomain, why)
+	}
+}
--- /dev/null
+++ b/cmd/bulrushd/doc.go
@@ -0,0 +1,2 @@
+// Bulrushd is the daemon of an entry host.
+package main
--- /dev/null
+++ b/cmd/bulrushd/main.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"bulrushshed/daemon"
+	"bulrushshed/settings"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&defaultsCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+type serveCommand struct{ settings string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "serve callers until a signal stops it gracefully" }
+func (*serveCommand) Usage() string    { return "bulrushd serve -settings entry-1.json\n" }
+
+func (s *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.settings, "settings", "", "settings file")
+}
+
+func (s *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfg, err := settings.Load(s.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	// Further signals during the graceful stop do nothing.
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := daemon.Run(ctx, daemon.Wire(cfg)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+type checkCommand struct{ settings string }
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a settings file" }
+func (*checkCommand) Usage() string    { return "bulrushd check -settings entry-1.json\n" }
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings file")
+}
+
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := settings.Load(c.settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println("settings are sound")
+	return subcommands.ExitSuccess
+}
+
+type defaultsCommand struct{}
+
+func (*defaultsCommand) Name() string           { return "defaults" }
+func (*defaultsCommand) Synopsis() string       { return "print all settings with their defaults" }
+func (*defaultsCommand) Usage() string          { return "bulrushd defaults\n" }
+func (*defaultsCommand) SetFlags(*flag.FlagSet) {}
+
+func (*defaultsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	text, err := json.MarshalIndent(settings.Default(), "", "  ")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println(string(text))
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/completion/runner.go
@@ -0,0 +1,313 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"bulrushshed/engine"
+	"bulrushshed/outcome"
+	"bulrushshed/route"
+	"bulrushshed/rule"
+)
+
+// Request is one prompt to answer.
+type Request struct {
+	ID        string
+	Customer  string
+	Model     rule.Model
+	Prompt    string
+	MaxTokens int
+	Deadline  time.Time
+}
+
+// Engines opens streams and asks engines whether they are there.
+type Engines interface {
+	Generate(ctx context.Context, g engine.Generate, headTimeout time.Duration) (engine.Stream, error)
+	Probe(ctx context.Context, address string) error
+}
+
+// Planner finds a route and counts what runs on it until release is called.
+type Planner interface {
+	Plan(m rule.Model, p route.Pick) (r route.Route, release func(), err error)
+	// Suspect tells that an endpoint failed a request.
+	Suspect(endpoint string, incarnation int64)
+}
+
+// Canceller tells engines, some time soon, that an attempt has ended.
+type Canceller interface {
+	Cancel(hops []route.Hop, c engine.Cancel)
+}
+
+// Counter counts what went other than planned.
+type Counter interface {
+	Resumed(cause string)
+	Dropped()
+}
+
+// Sink takes the tokens of an answer; an error means that the caller left.
+type Sink interface {
+	Token(position int, token string) error
+}
+
+// Options bound a runner.
+type Options struct {
+	// HeadTimeout bounds the wait for an engine to accept a stream.
+	HeadTimeout time.Duration
+	// FirstGap and TokenGap bound the wait for the first token of an
+	// attempt and for each one behind it.
+	FirstGap time.Duration
+	TokenGap time.Duration
+	// ProbeTimeout bounds the question whether an engine is there.
+	ProbeTimeout time.Duration
+	// Attempts is the number of attempts for one request.
+	Attempts int
+	// Pause is the time between two looks for a route when none is at hand,
+	// and RouteWait the time after which a request gives up looking.
+	Pause     time.Duration
+	RouteWait time.Duration
+}
+
+// Runner answers requests; it is safe for concurrent use.
+type Runner struct {
+	opts      Options
+	engines   Engines
+	planner   Planner
+	canceller Canceller
+	counter   Counter
+	log       *slog.Logger
+}
+
+// NewRunner returns a runner.
+func NewRunner(o Options, e Engines, p Planner, c Canceller, n Counter, log *slog.Logger) *Runner {
+	return &Runner{opts: o, engines: e, planner: p, canceller: c, counter: n, log: log}
+}
+
+// run is the state of one request while it is answered.
+type run struct {
+	*Runner
+	req      Request
+	progress *Progress
+	sink     Sink
+	// avoid and prefer steer the next plan.
+	avoid  map[string]bool
+	prefer map[string]bool
+	log    *slog.Logger
+}
+
+// Run answers a request into a sink. The error is an *outcome.Error; it is of
+// kind NotRun only while no engine can have seen the request.
+func (r *Runner) Run(ctx context.Context, req Request, sink Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	x := &run{
+		Runner: r, req: req, sink: sink,
+		progress: NewProgress(req.ID, req.MaxTokens),
+		avoid:    map[string]bool{}, prefer: map[string]bool{},
+		log: r.log.With("request_id", req.ID, "customer", req.Customer),
+	}
+	return x.attempts(ctx)
+}
+
+func (x *run) attempts(ctx context.Context) error {
+	var last error
+	started := false
+	for range x.opts.Attempts {
+		rt, release, err := x.plan(ctx)
+		if ctx.Err() != nil {
+			return x.ended(ctx, started)
+		}
+		if err != nil {
+			last = err
+			break
+		}
+		f := x.attempt(ctx, rt)
+		release()
+		if f == nil {
+			return nil
+		}
+		started = started || f.started
+		if f.final != nil {
+			return f.final
+		}
+		last = f.cause
+		x.learn(ctx, rt, f)
+	}
+	return x.exhausted(last, started)
+}
+
+// plan waits up to RouteWait for a route to come up.
+func (x *run) plan(ctx context.Context) (route.Route, func(), error) {
+	for waited := time.Duration(0); ; waited += x.opts.Pause {
+		rt, release, err := x.planner.Plan(x.req.Model, route.Pick{Avoid: x.avoid, Prefer: x.prefer})
+		if err == nil || waited >= x.opts.RouteWait || ctx.Err() != nil {
+			return rt, release, err
+		}
+		x.pause(ctx)
+	}
+}
+
+// pause waits for a route to come up; endpoints that failed may be tried
+// again then.
+func (x *run) pause(ctx context.Context) {
+	clear(x.avoid)
+	t := time.NewTimer(x.opts.Pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// failure is why an attempt did not complete the answer.
+type failure struct {
+	cause error
+	// endpoint is the hop that failed, or "" if that is not known.
+	endpoint string
+	// started is whether an engine can have seen the request.
+	started bool
+	// final is set if no other attempt may follow.
+	final error
+}
+
+// attempt runs one stream to its end, and tells the engines that it is over.
+func (x *run) attempt(ctx context.Context, rt route.Route) *failure {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n := x.progress.Begin()
+	s, err := x.engines.Generate(ctx, engine.Generate{
+		RequestID: x.req.ID, Attempt: n, Prompt: x.req.Prompt, Delivered: x.progress.Delivered(),
+		MaxTokens: x.req.MaxTokens, Priority: int(rule.PriorityNormal), Route: rt,
+	}, x.opts.HeadTimeout)
+	if err != nil {
+		return &failure{cause: err, endpoint: rt.Hops[0].Endpoint, started: !errors.Is(err, engine.ErrNotRun)}
+	}
+	f := x.follow(ctx, s)
+	over := f == nil || f.final != nil
+	x.canceller.Cancel(rt.Hops, engine.Cancel{RequestID: x.req.ID, Attempt: n, Free: over})
+	return f
+}
+
+// follow passes tokens on until the end, a failure, or a gap that is too long.
+func (x *run) follow(ctx context.Context, s engine.Stream) *failure {
+	gap := time.NewTimer(x.opts.FirstGap)
+	defer gap.Stop()
+	for {
+		select {
+		case e, ok := <-s.Events():
+			if !ok {
+				return &failure{cause: s.Err(), started: true}
+			}
+			over, f := x.event(e)
+			if over {
+				return f
+			}
+			gap.Reset(x.opts.TokenGap)
+		case <-gap.C:
+			return &failure{cause: errGap, started: true}
+		case <-ctx.Done():
+			return &failure{cause: ctx.Err(), started: true, final: x.ended(ctx, true)}
+		}
+	}
+}
+
+var errGap = errors.New("no token within the gap")
+
+// event handles one event; over is whether the attempt ends with it.
+func (x *run) event(e engine.Event) (over bool, f *failure) {
+	switch x.progress.Accept(e) {
+	case VerdictDrop:
+		x.counter.Dropped()
+	case VerdictDeliver:
+		if err := x.sink.Token(e.Position, e.Token); err != nil {
+			return true, &failure{cause: err, started: true, final: callerLeft(err)}
+		}
+	case VerdictFail:
+		return true, &failure{cause: errors.New(e.Reason), endpoint: e.Endpoint, started: true}
+	case VerdictEnd:
+		return true, nil
+	}
+	return false, nil
+}
+
+// learn notes which endpoints failed and which still hold the KV cache.
+func (x *run) learn(ctx context.Context, rt route.Route, f *failure) {
+	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoint", f.endpoint,
+		"position", len(x.progress.Delivered()), "cause", f.cause.Error())
+	x.counter.Resumed(causeOf(f))
+	failed := map[string]bool{}
+	if f.endpoint != "" {
+		failed[f.endpoint] = true
+	} else {
+		failed = x.probe(ctx, rt)
+	}
+	clear(x.prefer)
+	for _, h := range rt.Hops {
+		if !failed[h.Endpoint] {
+			x.prefer[h.Endpoint] = true
+			continue
+		}
+		x.avoid[h.Endpoint] = true
+		x.planner.Suspect(h.Endpoint, h.Incarnation)
+	}
+}
+
+func causeOf(f *failure) string {
+	switch {
+	case errors.Is(f.cause, errGap):
+		return "gap"
+	case f.endpoint != "":
+		return "stage"
+	}
+	return "stream"
+}
+
+// probe asks all hops at once whether they are there, and returns those that
+// did not answer in time.
+func (x *run) probe(ctx context.Context, rt route.Route) map[string]bool {
+	ctx, cancel := context.WithTimeout(ctx, x.opts.ProbeTimeout)
+	defer cancel()
+	type reply struct {
+		endpoint string
+		err      error
+	}
+	replies := make(chan reply, len(rt.Hops))
+	for _, h := range rt.Hops {
+		go func() { replies <- reply{endpoint: h.Endpoint, err: x.engines.Probe(ctx, h.Address)} }()
+	}
+	failed := map[string]bool{}
+	for range rt.Hops {
+		if r := <-replies; r.err != nil {
+			failed[r.endpoint] = true
+		}
+	}
+	return failed
+}
+
+func callerLeft(err error) error {
+	return &outcome.Error{Op: "complete", Kind: outcome.Unknown, Cause: outcome.CauseCallerLeft, Message: err.Error()}
+}
+
+// ended tells a deadline from a caller that left.
+func (x *run) ended(ctx context.Context, started bool) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return &outcome.Error{Op: "complete", Kind: kind(started), Cause: outcome.CauseDeadline, Message: "the deadline passed"}
+	}
+	return callerLeft(context.Cause(ctx))
+}
+
+func (x *run) exhausted(last error, started bool) error {
+	cause := outcome.CauseNoEndpoint
+	if started {
+		cause = outcome.CauseInterrupted
+	}
+	return &outcome.Error{Op: "complete", Kind: kind(started), Cause: cause, Message: last.Error(), RetryAfter: time.Second}
+}
+
+func kind(started bool) outcome.Kind {
+	if started {
+		return outcome.Unknown
+	}
+	return outcome.NotRun
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+
+	"bulrushshed/admit"
+	"bulrushshed/balance"
+	"bulrushshed/caller"
+	"bulrushshed/claim"
+	"bulrushshed/delivery"
+	"bulrushshed/directory"
+	"bulrushshed/enginehttp"
+	"bulrushshed/gossip"
+	"bulrushshed/meter"
+	"bulrushshed/operator"
+	"bulrushshed/peer"
+	"bulrushshed/platform"
+	"bulrushshed/platformhttp"
+	"bulrushshed/publication"
+	"bulrushshed/settings"
+)
+
+// Daemon is one entry host.
+type Daemon struct {
+	cfg  settings.Settings
+	log  *slog.Logger
+	self claim.Home
+	tls  *tls.Config
+
+	directory *directory.Directory
+	keeper    *publication.Keeper
+	claims    *claim.Table
+	items     *gossip.Table
+	inflight  *balance.Inflight
+	gate      *admit.Gate
+	meter     *meter.Meter
+	platform  *platformhttp.Client
+	engines   *enginehttp.Client
+	callers   *caller.Server
+	canceller *canceller
+	// deliverer is set by the wiring before anything runs.
+	deliverer *delivery.Deliverer
+
+	// node is set by Run before anything uses it.
+	node *peer.Node
+	// draining is set once, when a graceful stop begins.
+	draining atomic.Bool
+	// listFailure is why the platform's list could not be read, or "".
+	listFailure atomic.Value
+}
+
+// Home returns the daemon's host in its present incarnation.
+func (d *Daemon) Home() claim.Home { return d.self }
+
+// host is the daemon's line for the platform's list.
+func (d *Daemon) host() platform.Host {
+	state := platform.StateLive
+	if d.draining.Load() {
+		state = platform.StateLeaving
+	}
+	return platform.Host{
+		Name: d.cfg.Name, Address: d.cfg.CallerAddress, Peer: d.cfg.PeerAddress, Role: platform.RoleEntry,
+		FailureDomain: d.cfg.FailureDomain, State: state, Incarnation: d.self.Incarnation,
+	}
+}
+
+// Run serves until stop ends, and then stops gracefully. The injector holds
+// what Wire provided.
+func Run(stop context.Context, i do.Injector) error {
+	d, err := do.Invoke[*Daemon](i)
+	if err != nil {
+		return err
+	}
+	// work ends only when the host has drained.
+	work, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	d.callers, err = do.Invoke[*caller.Server](i)
+	if err != nil {
+		return err
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	servers, err := d.serve()
+	if err != nil {
+		return err
+	}
+	loops := d.loops(work)
+	d.log.Info("daemon: serving", "callers", d.cfg.CallerAddress, "operators", d.cfg.OperatorAddress,
+		"peers", d.cfg.PeerAddress, "incarnation", d.self.Incarnation)
+	select {
+	case <-stop.Done():
+	case err := <-servers.failed:
+		return eris.Wrap(err, "serve")
+	}
+	d.drain(servers)
+	cancel()
+	for _, done := range loops {
+		if err := <-done; err != nil {
+			d.log.Warn("daemon: loop failed", "cause", err.Error())
+		}
+	}
+	d.log.Info("daemon: stopped")
+	return nil
+}
+
+func (d *Daemon) listen() error {
+	node, err := peer.NewNode(peer.Options{
+		Address: d.cfg.PeerAddress, Timeout: d.cfg.Times.Peer.D(), MaxBytes: maxPeerBytes,
+	}, d.tls, d, d.log)
+	d.node = node
+	return err
+}
+
+// maxPeerBytes bounds a message between entry hosts; a rule file or a body
+// fits in it.
+const maxPeerBytes = 8 << 20
+
+// servers are the HTTP servers of a daemon.
+type servers struct {
+	callers   *fiber.App
+	operators *fiber.App
+	// failed carries the end of each server.
+	failed chan error
+}
+
+func (d *Daemon) serve() (*servers, error) {
+	s := &servers{callers: d.callers.App(), operators: operator.NewApp(d), failed: make(chan error, 2)}
+	// Callers on kept-alive connections are told to leave once the stop has
+	// begun.
+	s.callers.Server().CloseOnShutdown = true
+	callers, err := net.Listen("tcp", d.cfg.CallerAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
+	operators, err := operator.Listen(d.cfg.OperatorAddress, d.tls)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for operators")
+	}
+	silent := fiber.ListenConfig{DisableStartupMessage: true}
+	go func() { s.failed <- s.callers.Listener(callers, silent) }()
+	go func() { s.failed <- s.operators.Listener(operators, silent) }()
+	return s, nil
+}
+
+// loops starts all that runs in the background; each reports its end on a
+// channel.
+func (d *Daemon) loops(ctx context.Context) []<-chan error {
+	return []<-chan error{
+		d.node.Serve(ctx),
+		d.keeper.Follow(ctx, d.platform, d),
+		d.canceller.serve(ctx),
+		every(ctx, d.cfg.Times.HostsEvery.D(), d.readHosts),
+		every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
+		every(ctx, d.cfg.Times.StatusEvery.D(), d.readStatuses),
+		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
+	}
+}
+
+// every calls f at once and then each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func(ctx context.Context)) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		t := time.NewTicker(period)
+		defer t.Stop()
+		for ctx.Err() == nil {
+			f(ctx)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// Record hears of the log's records that are no rules.
+func (d *Daemon) Record(platform.Record) {}
--- /dev/null
+++ b/daemon/home.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bulrushshed/claim"
+	"bulrushshed/delivery"
+	"bulrushshed/outcome"
+	"bulrushshed/peer"
+	"bulrushshed/platform"
+)
+
+// homes passes calls on to the hosts that their keys name.
+type homes struct{ d *Daemon }
+
+var _ delivery.Homes = homes{}
+
+// Forward sends a call to its home. Whatever fails on the way, an earlier
+// copy of the call may have run there, so the outcome is unknown.
+func (h homes) Forward(ctx context.Context, home claim.Home, r delivery.Request) (outcome.Answer, error) {
+	address, err := h.address(home)
+	if err != nil {
+		return outcome.Answer{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	left := time.Until(r.Deadline).Milliseconds()
+	m := peer.Message{Kind: peer.KindForward, Forward: &peer.Forward{Request: r, LeftMS: left}}
+	reply, err := h.d.node.Call(ctx, address, m)
+	switch {
+	case err != nil:
+		return outcome.Answer{}, lost(outcome.CauseHomeSilent, "the key's home does not answer: "+err.Error())
+	case reply.Error != nil:
+		return outcome.Answer{}, reply.Error
+	case reply.Answer == nil:
+		return outcome.Answer{}, lost(outcome.CauseHomeSilent, "the key's home sent no answer")
+	}
+	return *reply.Answer, nil
+}
+
+// address finds the home in its own incarnation.
+func (h homes) address(home claim.Home) (string, error) {
+	for _, s := range h.d.directory.View().Hosts {
+		if s.Role != platform.RoleEntry || s.Name != home.Host {
+			continue
+		}
+		if s.Incarnation > home.Incarnation {
+			return "", lost(outcome.CauseHomeGone, "the key's home has restarted since it issued the key")
+		}
+		return s.Peer, nil
+	}
+	return "", lost(outcome.CauseHomeGone, "the key's home is not there any more")
+}
+
+func lost(cause outcome.Cause, message string) error {
+	return &outcome.Error{Op: "forward", Kind: outcome.Unknown, Cause: cause, Message: message}
+}
+
+// Handle answers the messages of other entry hosts.
+func (d *Daemon) Handle(ctx context.Context, m peer.Message) peer.Reply {
+	switch {
+	case m.Kind == peer.KindForward && m.Forward != nil:
+		return d.handleForward(ctx, *m.Forward)
+	case m.Kind == peer.KindExchange && m.Exchange != nil:
+		return peer.Reply{Exchange: d.answerExchange(*m.Exchange)}
+	}
+	return peer.Reply{Error: &outcome.Error{
+		Op: "handle", Kind: outcome.Invalid, Cause: outcome.CauseField, Field: "kind", Message: "unknown message",
+	}}
+}
+
+func (d *Daemon) handleForward(ctx context.Context, f peer.Forward) peer.Reply {
+	r := f.Request
+	r.Deadline = time.Now().Add(time.Duration(f.LeftMS) * time.Millisecond)
+	key, ok := claim.ParseKey(r.Key)
+	if !ok {
+		return peer.Reply{Error: &outcome.Error{
+			Op: "forward", Kind: outcome.Invalid, Cause: outcome.CauseKeyMissing, Field: "key", Message: "got no issued key",
+		}}
+	}
+	answer, err := d.deliverer.AtHome(ctx, key, r)
+	if err == nil {
+		return peer.Reply{Answer: &answer}
+	}
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		return peer.Reply{Error: o}
+	}
+	return peer.Reply{Error: &outcome.Error{
+		Op: "forward", Kind: outcome.Unknown, Cause: outcome.CauseNoAnswer, Message: err.Error(),
+	}}
+}
--- /dev/null
+++ b/daemon/plan.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"time"
+
+	"bulrushshed/balance"
+	"bulrushshed/caller"
+	"bulrushshed/claim"
+	"bulrushshed/completion"
+	"bulrushshed/delivery"
+	"bulrushshed/platform"
+	"bulrushshed/route"
+	"bulrushshed/rule"
+)
+
+// planner draws routes and replicas from the directory's view.
+type planner struct{ d *Daemon }
+
+var (
+	_ completion.Planner = planner{}
+	_ delivery.Replicas  = planner{}
+	_ caller.Entries     = planner{}
+)
+
+// Plan returns a route, and counts it until release is called.
+func (p planner) Plan(m rule.Model, pick route.Pick) (route.Route, func(), error) {
+	pick.Extra = p.d.inflight.All()
+	r, err := p.d.directory.View().Plan(m, pick)
+	if err != nil {
+		return route.Route{}, nil, err
+	}
+	return r, p.d.inflight.Add(balance.Endpoints(r)...), nil
+}
+
+// Suspect avoids an endpoint for a while.
+func (p planner) Suspect(endpoint string, incarnation int64) {
+	p.d.directory.Suspect(endpoint, incarnation, time.Now())
+}
+
+// Pick returns a replica of a service, and counts the call on it.
+func (p planner) Pick(service string, tried map[string]bool) (delivery.Replica, func(), bool) {
+	replicas := p.d.directory.View().Services[service]
+	r, ok := balance.Pick(replicas, tried, p.d.inflight.Of, p.d.cfg.FailureDomain)
+	if !ok {
+		return delivery.Replica{}, nil, false
+	}
+	return r, p.d.inflight.Add(r.Endpoint), true
+}
+
+// Entries returns the addresses that callers may use, this host's first
+// unless it is stopping.
+func (p planner) Entries() []caller.Entry {
+	var entries []caller.Entry
+	if !p.d.draining.Load() {
+		entries = append(entries, entry(p.d.host()))
+	}
+	for _, h := range p.d.directory.View().Entries {
+		if h.Name != p.d.self.Host {
+			entries = append(entries, entry(h))
+		}
+	}
+	return entries
+}
+
+func entry(h platform.Host) caller.Entry {
+	return caller.Entry{Name: h.Name, Address: h.Address, FailureDomain: h.FailureDomain}
+}
+
+// IssueKeys returns n idempotency keys whose home is this host.
+func (p planner) IssueKeys(n int) []string {
+	keys := make([]string, 0, n)
+	for range n {
+		keys = append(keys, claim.Issue(p.d.self, time.Now()).String())
+	}
+	return keys
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+
+	"bulrushshed/operator"
+	"bulrushshed/platform"
+	"bulrushshed/route"
+	"bulrushshed/rule"
+)
+
+var _ operator.Host = (*Daemon)(nil)
+
+// Status returns what the host knows and does.
+func (d *Daemon) Status(withText bool) operator.Status {
+	failure, _ := d.listFailure.Load().(string)
+	s := operator.Status{
+		Name: d.self.Host, FailureDomain: d.cfg.FailureDomain, Incarnation: d.self.Incarnation,
+		Draining: d.draining.Load(), Rules: d.keeper.State(), Requests: d.gate.Taken(), Claims: d.claims.Len(),
+		Items: d.items.Len(), PlatformFailure: failure, Hosts: d.directory.View().Hosts, At: time.Now(),
+	}
+	if withText {
+		s.RulesText = d.keeper.Current().Text
+	}
+	return s
+}
+
+// WriteMetrics writes the host's metrics.
+func (d *Daemon) WriteMetrics(c fiber.Ctx) error {
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	d.meter.Write(c)
+	return nil
+}
+
+// Explain returns what would become of a request now.
+func (d *Daemon) Explain(q operator.Query) (operator.Explanation, error) {
+	inForce := d.keeper.Current()
+	e := operator.Explanation{Query: q, Version: inForce.Version, Candidates: []operator.Candidate{}}
+	if l, ok := inForce.File.Limit(q.Customer); ok {
+		e.Limit = &l
+	}
+	switch {
+	case q.Model != "":
+		d.explainModel(&e, inForce.File)
+	case q.Path != "":
+		d.explainCall(&e, inForce.File)
+	default:
+		return e, eris.New("got neither path nor model, want one")
+	}
+	return e, nil
+}
+
+func (d *Daemon) explainModel(e *operator.Explanation, f *rule.File) {
+	m, ok := f.Model(e.Query.Model)
+	if !ok {
+		e.Refused = "no rule names the model " + e.Query.Model
+		return
+	}
+	e.Model = &m
+	view := d.directory.View()
+	r, err := view.Plan(m, route.Pick{Extra: d.inflight.All()})
+	if err != nil {
+		e.Refused = err.Error()
+	} else {
+		e.Route = &r
+	}
+	for _, h := range view.Hosts {
+		if h.Role != platform.RoleEngine {
+			continue
+		}
+		why := ""
+		switch {
+		case h.Leaving:
+			why = "leaving"
+		case h.Suspected:
+			why = "failed a request lately"
+		case !h.Reporting:
+			why = "sends no status"
+		case h.Holding.Model != m.Name || h.Holding.Version != m.Version:
+			why = "holds " + h.Holding.Model + " " + h.Holding.Version
+		case !r.Uses(h.Name):
+			why = "another route is faster now"
+		}
+		e.Candidates = append(e.Candidates, operator.Candidate{Endpoint: h.Name, FailureDomain: h.FailureDomain, Why: why})
+	}
+}
+
+func (d *Daemon) explainCall(e *operator.Explanation, f *rule.File) {
+	class, ok := f.Class(e.Query.Path)
+	if !ok {
+		e.Refused = "no rule names the path " + e.Query.Path
+		return
+	}
+	e.Class = &class
+	usable := 0
+	for _, h := range d.directory.View().Hosts {
+		if h.Role != platform.RoleService {
+			continue
+		}
+		why := ""
+		switch {
+		case !serves(h.Host, class.Service):
+			why = "does not run " + class.Service
+		case h.Leaving:
+			why = "leaving"
+		case h.Suspected:
+			why = "failed a call lately"
+		default:
+			usable++
+		}
+		e.Candidates = append(e.Candidates, operator.Candidate{Endpoint: h.Name, FailureDomain: h.FailureDomain, Why: why})
+	}
+	if usable == 0 {
+		e.Refused = "no replica of " + class.Service + " takes new work"
+	}
+}
+
+func serves(h platform.Host, service string) bool {
+	for _, s := range h.Serves {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bulrushshed/directory"
+	"bulrushshed/enginehttp"
+	"bulrushshed/platform"
+)
+
+// readHosts takes the platform's list.
+func (d *Daemon) readHosts(context.Context) {
+	hosts, err := d.platform.Hosts()
+	if err != nil {
+		d.listFailure.Store(err.Error())
+		return
+	}
+	d.listFailure.Store("")
+	d.directory.List(hosts, time.Now())
+}
+
+// announce keeps this host on the platform's list.
+func (d *Daemon) announce(context.Context) {
+	if err := d.platform.Announce(d.host()); err != nil {
+		d.log.Debug("daemon: not announced", "cause", err.Error())
+	}
+}
+
+// statusWorkers is the number of engines that are asked at a time.
+const statusWorkers = 16
+
+// readStatuses asks all engines for their status.
+func (d *Daemon) readStatuses(ctx context.Context) {
+	hosts := make(chan directory.Standing)
+	var workers sync.WaitGroup
+	for range statusWorkers {
+		workers.Go(func() {
+			for h := range hosts {
+				d.readStatus(h)
+			}
+		})
+	}
+	for _, h := range d.directory.View().Hosts {
+		if h.Role == platform.RoleEngine && ctx.Err() == nil {
+			hosts <- h
+		}
+	}
+	close(hosts)
+	workers.Wait()
+	d.directory.Refresh(time.Now())
+}
+
+func (d *Daemon) readStatus(h directory.Standing) {
+	s, err := d.engines.Status(h.Address)
+	if err != nil {
+		if enginehttp.IsNotRun(err) {
+			// Nothing listens there any more.
+			d.directory.Suspect(h.Name, h.Incarnation, time.Now())
+		}
+		return
+	}
+	if news, isNew := d.directory.Status(h.Name, s, time.Now()); isNew {
+		d.spreadLeave(news)
+	}
+}
--- /dev/null
+++ b/daemon/wire.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"bulrushshed/admit"
+	"bulrushshed/balance"
+	"bulrushshed/caller"
+	"bulrushshed/claim"
+	"bulrushshed/completion"
+	"bulrushshed/delivery"
+	"bulrushshed/directory"
+	"bulrushshed/enginehttp"
+	"bulrushshed/gossip"
+	"bulrushshed/keys"
+	"bulrushshed/meter"
+	"bulrushshed/platformhttp"
+	"bulrushshed/publication"
+	"bulrushshed/route"
+	"bulrushshed/servicehttp"
+	"bulrushshed/settings"
+)
+
+const (
+	// maxCustomers and maxClasses bound the labels of metrics.
+	maxCustomers = 6000
+	maxClasses   = 100
+
+	// headWait is how long a stream waits for its first token before its
+	// status is sent.
+	headWait = 2 * time.Second
+
+	// gossipBytes bounds the items of one exchange.
+	gossipBytes      = 16 << 10
+	gossipRedundancy = 2
+
+	// logLimit is the number of records of one read of the log.
+	logLimit = 200
+	logWait  = time.Second
+	logPause = 200 * time.Millisecond
+
+	// routePause is the time between two looks for a route.
+	routePause = 50 * time.Millisecond
+
+	sameDomain  = 100 * time.Microsecond
+	crossDomain = 500 * time.Microsecond
+)
+
+// Wire returns an injector that makes a daemon of the settings.
+func Wire(cfg settings.Settings) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, cfg)
+	do.Provide(i, newLogger)
+	do.Provide(i, newDaemon)
+	do.Provide(i, newRunner)
+	do.Provide(i, newDeliverer)
+	do.Provide(i, newCallers)
+	return i
+}
+
+func newLogger(i do.Injector) (*slog.Logger, error) {
+	cfg := do.MustInvoke[settings.Settings](i)
+	return Logger(cfg.Log, cfg.Name), nil
+}
+
+// Logger returns a logger to standard error whose lines name the host.
+func Logger(cfg settings.Log, host string) *slog.Logger {
+	var level slog.Level
+	// The settings were checked, so the level is one that slog knows.
+	_ = level.UnmarshalText([]byte(cfg.Level))
+	opts := &slog.HandlerOptions{Level: level}
+	if cfg.Format == "text" {
+		return slog.New(slog.NewTextHandler(os.Stderr, opts)).With("host", host)
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, opts)).With("host", host)
+}
+
+func newDaemon(i do.Injector) (*Daemon, error) {
+	cfg := do.MustInvoke[settings.Settings](i)
+	log := do.MustInvoke[*slog.Logger](i)
+	pair, err := keys.Load(cfg.TLS.CAFile, cfg.TLS.CertFile, cfg.TLS.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	t := cfg.Times
+	d := &Daemon{
+		cfg: cfg, log: log,
+		self: claim.Home{Host: cfg.Name, Incarnation: time.Now().UnixMicro()},
+		tls:  keys.For(pair, keys.RoleHost),
+		directory: directory.New(directory.Options{
+			StatusLife: t.StatusLife.D(), SuspectLife: t.SuspectLife.D(),
+			Costs: route.Costs{SameDomain: sameDomain, CrossDomain: crossDomain},
+		}),
+		claims: claim.NewTable(claim.Options{
+			Life: t.KeyLife.D(), Capacity: cfg.Limits.Keys, MaxAnswer: cfg.Limits.KeptAnswer,
+		}),
+		items:    gossip.NewTable(gossip.Options{Self: cfg.Name, MaxBytes: gossipBytes, Redundancy: gossipRedundancy}),
+		inflight: balance.NewInflight(),
+		gate:     admit.NewGate(cfg.Limits.Streams + cfg.Limits.Calls),
+		meter:    meter.New(maxCustomers, maxClasses),
+		platform: platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
+		engines:  enginehttp.NewClient(t.Peer.D()),
+	}
+	d.canceller = newCanceller(d.engines, log)
+	d.keeper = publication.NewKeeper(
+		publication.Options{Limit: logLimit, Wait: logWait, Pause: logPause}, d.spreadRules, log)
+	d.gauges()
+	return d, nil
+}
+
+func (d *Daemon) gauges() {
+	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.keeper.Current().Version) })
+	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.Taken()) })
+	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
+	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.keeper.State().LastRead).Seconds() })
+}
+
+func newRunner(i do.Injector) (*completion.Runner, error) {
+	d := do.MustInvoke[*Daemon](i)
+	t := d.cfg.Times
+	return completion.NewRunner(completion.Options{
+		HeadTimeout: t.Head.D(), FirstGap: t.FirstGap.D(), TokenGap: t.TokenGap.D(), ProbeTimeout: t.Probe.D(),
+		Attempts: d.cfg.Limits.Attempts, Pause: routePause, RouteWait: t.RouteWait.D(),
+	}, d.engines, planner{d}, d.canceller, d.meter, d.log), nil
+}
+
+func newDeliverer(i do.Injector) (*delivery.Deliverer, error) {
+	d := do.MustInvoke[*Daemon](i)
+	x := delivery.New(delivery.Options{Self: d.self, Attempts: d.cfg.Limits.Attempts},
+		servicehttp.NewClient(), planner{d}, homes{d}, d.claims, d.meter, d.log)
+	d.deliverer = x
+	return x, nil
+}
+
+func newCallers(i do.Injector) (*caller.Server, error) {
+	d := do.MustInvoke[*Daemon](i)
+	l, t := d.cfg.Limits, d.cfg.Times
+	// The work of callers ends by its deadlines or by the daemon's drain,
+	// and never by the signal to stop.
+	ctx := context.Background()
+	return caller.NewServer(ctx, caller.Options{
+		BodyBytes: l.BodyBytes, PromptBytes: l.PromptBytes, Tokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
+		EntriesValid: t.EntriesValid.D(), Read: t.Read.D(), Write: t.Write.D(), HeadWait: headWait,
+	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), d.gate, d.keeper, planner{d}, d.meter, d.log), nil
+}
--- /dev/null
+++ b/delivery/deliverer.go
@@ -0,0 +1,258 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushshed/claim"
+	"bulrushshed/outcome"
+	"bulrushshed/rule"
+	"bulrushshed/service"
+)
+
+// Request is one call of a plain service.
+type Request struct {
+	ID          string     `json:"id"`
+	Customer    string     `json:"customer"`
+	Class       rule.Class `json:"class"`
+	Method      string     `json:"method"`
+	Path        string     `json:"path"`
+	Key         string     `json:"key"`
+	ContentType string     `json:"content_type"`
+	Body        []byte     `json:"body"`
+	// Deadline is when the caller stops waiting, by the clock of the host
+	// that holds the request.
+	Deadline time.Time `json:"-"`
+}
+
+// fingerprint tells apart two calls that came with one key.
+func (r Request) fingerprint() uint64 {
+	return xxhash.Sum64String(r.Customer + "\x00" + r.Method + "\x00" + r.Path + "\x00" + string(r.Body))
+}
+
+// Services sends calls.
+type Services interface {
+	// Send makes a call that must not be repeated.
+	Send(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
+	// SendIdempotent makes a call that may be repeated.
+	SendIdempotent(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
+}
+
+// Replica is one endpoint of a service.
+type Replica struct {
+	Endpoint    string
+	Address     string
+	Incarnation int64
+}
+
+// Replicas picks endpoints.
+type Replicas interface {
+	// Pick returns a replica of the service that is not in tried, and counts
+	// the call on it until release is called.
+	Pick(service string, tried map[string]bool) (r Replica, release func(), ok bool)
+	// Suspect tells that a replica failed a call.
+	Suspect(endpoint string, incarnation int64)
+}
+
+// Homes passes calls on to the home of their key.
+type Homes interface {
+	// Forward returns the home's answer, or an *outcome.Error.
+	Forward(ctx context.Context, home claim.Home, r Request) (outcome.Answer, error)
+}
+
+// Counter counts what went other than planned.
+type Counter interface {
+	Retried(class string)
+}
+
+// Options bound a deliverer.
+type Options struct {
+	// Self is this host in its present incarnation.
+	Self claim.Home
+	// Attempts is the number of replicas that one call may be tried at.
+	Attempts int
+}
+
+// Deliverer answers calls; it is safe for concurrent use.
+type Deliverer struct {
+	opts     Options
+	services Services
+	replicas Replicas
+	homes    Homes
+	table    *claim.Table
+	counter  Counter
+	log      *slog.Logger
+}
+
+// New returns a deliverer whose claims are in table.
+func New(o Options, s Services, r Replicas, h Homes, t *claim.Table, c Counter, log *slog.Logger) *Deliverer {
+	return &Deliverer{opts: o, services: s, replicas: r, homes: h, table: t, counter: c, log: log}
+}
+
+// Deliver answers a call. The error is an *outcome.Error.
+func (d *Deliverer) Deliver(ctx context.Context, r Request) (outcome.Answer, error) {
+	if r.Class.Idempotent {
+		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+		return d.try(ctx, r, d.services.SendIdempotent)
+	}
+	if r.Key == "" {
+		return outcome.Answer{}, &outcome.Error{
+			Op: "deliver", Kind: outcome.Invalid, Cause: outcome.CauseKeyMissing, Field: service.HeaderKey,
+			Message: "a non-idempotent call needs a key; GET /v1/entries issues them",
+		}
+	}
+	key, ok := claim.ParseKey(r.Key)
+	if !ok {
+		return outcome.Answer{}, &outcome.Error{
+			Op: "deliver", Kind: outcome.Invalid, Cause: outcome.CauseKeyMissing, Field: service.HeaderKey,
+			Message: "got a key that no host issued, want one from GET /v1/entries",
+		}
+	}
+	if key.Home.Host != d.opts.Self.Host {
+		return d.homes.Forward(ctx, key.Home, r)
+	}
+	return d.AtHome(ctx, key, r)
+}
+
+// AtHome answers a non-idempotent call whose key names this host.
+func (d *Deliverer) AtHome(ctx context.Context, key claim.Key, r Request) (outcome.Answer, error) {
+	if key.Home != d.opts.Self {
+		return outcome.Answer{}, unknown(outcome.CauseHomeGone, "the key's home has restarted since it issued the key")
+	}
+	verdict, c := d.table.Begin(r.Key, key.Issued, r.fingerprint(), time.Now())
+	switch verdict {
+	case claim.VerdictRun:
+		return d.runClaimed(ctx, c, r)
+	case claim.VerdictWait, claim.VerdictReplay:
+		return d.await(ctx, c, r)
+	case claim.VerdictReused:
+		return outcome.Answer{}, &outcome.Error{
+			Op: "claim", Kind: outcome.Invalid, Cause: outcome.CauseKeyReused, Field: service.HeaderKey,
+			Message: "got a key that was first used for another call, want a key of its own for each call",
+		}
+	case claim.VerdictFull:
+		return outcome.Answer{}, &outcome.Error{
+			Op: "claim", Kind: outcome.NotRun, Cause: outcome.CauseBusy,
+			Message: "too many keys in use", RetryAfter: time.Second,
+		}
+	case claim.VerdictExpired:
+		return outcome.Answer{}, unknown(outcome.CauseKeyExpired, "the key is too old to tell whether its call ran")
+	}
+	panic("delivery: got verdict " + string(verdict))
+}
+
+// runClaimed runs the call to its end even if its caller leaves, so that a
+// repeat finds what became of it.
+func (d *Deliverer) runClaimed(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	defer cancel()
+	answer, err := d.try(ctx, r, d.services.Send)
+	d.table.Finish(r.Key, c, claim.Result{Answer: answer, Err: asOutcome(err)})
+	return answer, err
+}
+
+func (d *Deliverer) await(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	select {
+	case <-c.Done():
+	case <-ctx.Done():
+		return outcome.Answer{}, unknown(outcome.CauseDeadline, "the first use of the key is still running")
+	}
+	result := c.Result()
+	if result.Err != nil {
+		return outcome.Answer{}, result.Err
+	}
+	return result.Answer, nil
+}
+
+type send func(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
+
+// try sends a call to one replica after another. It goes on only if the last
+// one surely did not run it, or if the call is idempotent.
+func (d *Deliverer) try(ctx context.Context, r Request, send send) (outcome.Answer, error) {
+	var last error
+	tried := map[string]bool{}
+	for n := range d.opts.Attempts {
+		replica, release, ok := d.replicas.Pick(r.Class.Service, tried)
+		if !ok {
+			break
+		}
+		tried[replica.Endpoint] = true
+		answer, err := d.sendTo(ctx, r, n+1, replica, send)
+		release()
+		if err == nil {
+			return answer, nil
+		}
+		last = worst(last, err)
+		if !r.Class.Idempotent && !notRun(err) {
+			break
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		d.counter.Retried(r.Class.Name)
+	}
+	if last == nil {
+		last = &outcome.Error{
+			Op: "pick", Kind: outcome.NotRun, Cause: outcome.CauseNoEndpoint,
+			Message: "no replica of " + r.Class.Service + " takes new work", RetryAfter: time.Second,
+		}
+	}
+	return outcome.Answer{}, last
+}
+
+func (d *Deliverer) sendTo(ctx context.Context, r Request, attempt int, to Replica, send send) (outcome.Answer, error) {
+	// A host may have been paused up to here, so the deadline is checked
+	// right before the first byte.
+	left := time.Until(r.Deadline)
+	if left <= 0 || ctx.Err() != nil {
+		return outcome.Answer{}, &outcome.Error{
+			Op: "send", Kind: outcome.NotRun, Cause: outcome.CauseDeadline, Message: "the deadline passed before the call was sent",
+		}
+	}
+	answer, err := send(ctx, to.Address, service.Call{
+		RequestID: r.ID, Attempt: attempt, Key: r.Key, Method: r.Method, Path: r.Path,
+		ContentType: r.ContentType, Body: r.Body, Timeout: left,
+	})
+	if err != nil {
+		d.log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
+			"endpoint", to.Endpoint, "cause", err.Error())
+		d.replicas.Suspect(to.Endpoint, to.Incarnation)
+	}
+	return answer, err
+}
+
+// worst keeps the error that promises less: once a call may have run, a later
+// refusal does not change that.
+func worst(last, err error) error {
+	if last != nil && !notRun(last) {
+		return last
+	}
+	return err
+}
+
+func notRun(err error) bool {
+	e := asOutcome(err)
+	return e != nil && e.Kind == outcome.NotRun
+}
+
+func asOutcome(err error) *outcome.Error {
+	if err == nil {
+		return nil
+	}
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return unknown(outcome.CauseNoAnswer, err.Error())
+}
+
+func unknown(cause outcome.Cause, message string) *outcome.Error {
+	return &outcome.Error{Op: "deliver", Kind: outcome.Unknown, Cause: cause, Message: message}
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,169 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bulrushshed/engine"
+	"bulrushshed/platform"
+	"bulrushshed/route"
+)
+
+// Options are the times after which news is forgotten.
+type Options struct {
+	// StatusLife is how long an engine's status counts without a new one.
+	StatusLife time.Duration
+	// SuspectLife is how long an endpoint that failed a request is avoided.
+	SuspectLife time.Duration
+	// Costs are the link costs of plans.
+	Costs route.Costs
+}
+
+// Leaving is news that an incarnation of a host takes no new work.
+type Leaving struct {
+	Host        string `json:"host"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// known is all that is known of one host.
+type known struct {
+	host platform.Host
+	// leaving is the newest incarnation that is known to leave.
+	leaving int64
+	// status is an engine's report, and statusAt when it came.
+	status   engine.Status
+	statusAt time.Time
+	// newsAt is when news of a leave came.
+	newsAt time.Time
+	// suspectUntil is when a suspected endpoint is tried again.
+	suspectUntil time.Time
+}
+
+// Directory gathers news. Its lock is taken before no other.
+type Directory struct {
+	opts Options
+	view atomic.Pointer[View]
+
+	mu    sync.Mutex
+	hosts map[string]*known
+	// listed holds the names on the platform's last list.
+	listed map[string]bool
+}
+
+// New returns a directory that knows no host.
+func New(o Options) *Directory {
+	d := &Directory{opts: o, hosts: map[string]*known{}, listed: map[string]bool{}}
+	d.view.Store(newView(o))
+	return d
+}
+
+// View returns the newest view; it is frozen.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// List takes the platform's list, which lags.
+func (d *Directory) List(hosts []platform.Host, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.listed)
+	for _, h := range hosts {
+		d.listed[h.Name] = true
+		d.merge(h)
+	}
+	for name, k := range d.hosts {
+		quiet := now.Sub(k.statusAt) > d.opts.StatusLife && now.Sub(k.newsAt) > d.opts.StatusLife
+		if !d.listed[name] && quiet {
+			delete(d.hosts, name)
+		}
+	}
+	d.publish(now)
+}
+
+// merge keeps the line of the newest incarnation.
+func (d *Directory) merge(h platform.Host) {
+	k, ok := d.hosts[h.Name]
+	if !ok {
+		k = &known{}
+		d.hosts[h.Name] = k
+	}
+	if h.Incarnation < k.host.Incarnation {
+		return
+	}
+	if h.Incarnation > k.host.Incarnation {
+		k.suspectUntil = time.Time{}
+	}
+	k.host = h
+	if h.State == platform.StateLeaving {
+		k.leaving = max(k.leaving, h.Incarnation)
+	}
+}
+
+// Leave takes news that an incarnation leaves, and reports whether it is new.
+func (d *Directory) Leave(n Leaving, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k, ok := d.hosts[n.Host]
+	if !ok {
+		// The news was faster than the list.
+		k = &known{}
+		d.hosts[n.Host] = k
+	}
+	if n.Incarnation <= k.leaving {
+		return false
+	}
+	k.leaving = n.Incarnation
+	k.newsAt = now
+	d.publish(now)
+	return true
+}
+
+// Status takes an engine's report, and returns news if it says that the
+// engine leaves.
+func (d *Directory) Status(host string, s engine.Status, now time.Time) (Leaving, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k, ok := d.hosts[host]
+	if !ok || s.Holding.Incarnation < k.host.Incarnation {
+		return Leaving{}, false
+	}
+	k.host.Incarnation = s.Holding.Incarnation
+	k.status = s
+	k.statusAt = now
+	n := Leaving{Host: host, Incarnation: s.Holding.Incarnation}
+	isNew := s.Draining && k.leaving < n.Incarnation
+	if isNew {
+		k.leaving = n.Incarnation
+	}
+	return n, isNew
+}
+
+// Refresh makes the statuses that came since the last view seen.
+func (d *Directory) Refresh(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.publish(now)
+}
+
+// Suspect avoids an endpoint for a while after it failed a request.
+func (d *Directory) Suspect(host string, incarnation int64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k, ok := d.hosts[host]
+	if !ok || k.host.Incarnation > incarnation {
+		return
+	}
+	k.suspectUntil = now.Add(d.opts.SuspectLife)
+	d.publish(now)
+}
+
+// publish makes a new view. The lock is held.
+func (d *Directory) publish(now time.Time) {
+	v := newView(d.opts)
+	for _, k := range d.hosts {
+		if k.host.Name != "" {
+			v.add(k, now, d.opts)
+		}
+	}
+	v.sort()
+	d.view.Store(v)
+}
--- /dev/null
+++ b/gossip/partner.go
@@ -0,0 +1,37 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// epoch is how long a host keeps its partners, so that connections to them
+// are worth keeping.
+const epoch = time.Minute
+
+// Partners returns the fanout members that a host exchanges with for a while.
+// Each host draws its own, by hash, so that the fleet's exchanges form a
+// random graph.
+func Partners(self string, members []string, fanout int, now time.Time) []string {
+	type drawn struct {
+		name string
+		sum  uint64
+	}
+	round := strconv.FormatInt(now.UnixNano()/int64(epoch), 10)
+	var all []drawn
+	for _, m := range members {
+		if m != self {
+			all = append(all, drawn{name: m, sum: xxhash.Sum64String(self + "\x00" + m + "\x00" + round)})
+		}
+	}
+	slices.SortFunc(all, func(a, b drawn) int { return cmp.Compare(a.sum, b.sum) })
+	var names []string
+	for _, d := range all[:min(fanout, len(all))] {
+		names = append(names, d.name)
+	}
+	return names
+}
--- /dev/null
+++ b/load/request.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"bulrushshed/caller"
+	"bulrushshed/history"
+	"bulrushshed/jsonhttp"
+	"bulrushshed/outcome"
+	"bulrushshed/reference"
+)
+
+// maxSends is how often a caller sends one request.
+const maxSends = 5
+
+// sendPause is the wait between two sends.
+const sendPause = 100 * time.Millisecond
+
+// call makes a non-idempotent call, and repeats it under the same key until
+// it has an answer.
+func (d *driver) call(ctx context.Context, customer string, intended time.Time) {
+	key, home, err := d.book.key()
+	if err != nil || key == "" {
+		// Nothing was sent, so nothing ran.
+		d.tally.unsent()
+		return
+	}
+	c := history.Call{Key: key}
+	avoid := map[string]bool{}
+	to := home
+	for range maxSends {
+		kind, sent := d.sendCall(ctx, to, customer, key)
+		if sent {
+			c.Sends = append(c.Sends, history.Send{Entry: to, Kind: kind, At: time.Now()})
+		}
+		if kind == outcome.Answered || kind == outcome.Invalid {
+			break
+		}
+		avoid[to] = true
+		d.book.forget(to)
+		if !sent && len(c.Sends) == 0 {
+			// The home never saw the key, so a fresh one is as good.
+			if k, h, err := d.book.key(); err == nil && k != "" {
+				c.Key = k
+				key, to = k, h
+				continue
+			}
+		}
+		time.Sleep(sendPause)
+		to = d.book.address(avoid)
+	}
+	if len(c.Sends) == 0 {
+		d.tally.unsent()
+		return
+	}
+	d.tally.call(c, time.Since(intended))
+}
+
+// sendCall sends one copy of a call; sent is false if no byte of it left.
+func (d *driver) sendCall(ctx context.Context, to, customer, key string) (kind outcome.Kind, sent bool) {
+	resp, err := d.book.http.Exchange(ctx, jsonhttp.Request{
+		Method: http.MethodPost, URL: "http://" + to + d.opts.CallPath, Timeout: d.opts.Timeout, Body: []byte(`{}`),
+		Headers: map[string]string{
+			caller.HeaderCustomer: customer, caller.HeaderKey: key, "Content-Type": "application/json",
+		},
+	})
+	if err != nil {
+		return outcome.Unknown, jsonhttp.KindOf(err) != jsonhttp.KindNotSent
+	}
+	return outcome.Kind(resp.Header(caller.HeaderOutcome)), true
+}
+
+// check asks an idempotent question until it has an answer.
+func (d *driver) check(ctx context.Context, customer string, intended time.Time) {
+	avoid := map[string]bool{}
+	for range maxSends {
+		to := d.book.address(avoid)
+		resp, err := d.book.http.Exchange(ctx, jsonhttp.Request{
+			Method: http.MethodGet, URL: "http://" + to + d.opts.CheckPath, Timeout: d.opts.Timeout,
+			Headers: map[string]string{caller.HeaderCustomer: customer},
+		})
+		if err == nil && outcome.Kind(resp.Header(caller.HeaderOutcome)) == outcome.Answered {
+			d.tally.check(true, time.Since(intended))
+			return
+		}
+		avoid[to] = true
+		time.Sleep(sendPause)
+	}
+	d.tally.check(false, time.Since(intended))
+}
+
+// stream is one answer as far as its caller got it.
+type stream struct {
+	tokens   []history.Token
+	first    time.Duration
+	gaps     []time.Duration
+	whole    bool
+	refused  outcome.Kind
+	lastNews time.Time
+}
+
+// complete asks for a completion; one that is cut is asked for again, since a
+// completion is idempotent.
+func (d *driver) complete(ctx context.Context, customer string, nonce uint64, intended time.Time) {
+	prompt := fmt.Sprintf("shift note %016x for %s", nonce, customer)
+	avoid := map[string]bool{}
+	sends := 0
+	var s *stream
+	for sends < maxSends {
+		sends++
+		to := d.book.address(avoid)
+		s = d.openStream(ctx, to, customer, prompt, intended)
+		if s.whole {
+			break
+		}
+		avoid[to] = true
+		time.Sleep(sendPause)
+	}
+	wrong := ""
+	if s.whole && d.opts.Layers > 0 {
+		wrong = history.CheckStream(s.tokens, reference.Tokens(prompt, d.opts.Layers, d.opts.MaxTokens))
+	}
+	d.tally.stream(s, sends, wrong, time.Since(intended))
+}
+
+func (d *driver) openStream(ctx context.Context, to, customer, prompt string, intended time.Time) *stream {
+	ctx, cancel := context.WithTimeout(ctx, d.opts.Timeout)
+	defer cancel()
+	s := &stream{refused: outcome.Unknown, lastNews: intended}
+	body, err := json.Marshal(map[string]any{
+		"model": d.opts.Model, "prompt": prompt, "max_tokens": d.opts.MaxTokens, "stream": true, "user": customer,
+	})
+	if err != nil {
+		panic(err)
+	}
+	in, err := d.book.http.Open(ctx, jsonhttp.Request{
+		Method: http.MethodPost, URL: "http://" + to + "/v1/completions", Timeout: d.opts.Timeout, Body: body,
+		Headers: map[string]string{"Content-Type": "application/json"},
+	})
+	if err != nil {
+		return s
+	}
+	defer in.Close()
+	if in.Status != http.StatusOK {
+		s.refused = outcome.Kind(in.Header(caller.HeaderOutcome))
+		return s
+	}
+	s.whole = s.read(in, intended) == nil
+	return s
+}
+
+var errCut = errors.New("stream ended without its end")
+
+// read takes tokens until the end mark, an error event or a cut.
+func (s *stream) read(in *jsonhttp.Stream, intended time.Time) error {
+	lines := bufio.NewScanner(in)
+	failed := false
+	for lines.Scan() {
+		line := lines.Bytes()
+		if bytes.HasPrefix(line, []byte("event: error")) {
+			failed = true
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		switch {
+		case !ok:
+			continue
+		case failed:
+			return errors.New(string(data))
+		case string(data) == "[DONE]":
+			return nil
+		}
+		if err := s.take(data, intended); err != nil {
+			return err
+		}
+	}
+	return errCut
+}
+
+// piece is the part of an event that callers read.
+type piece struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		Position     int    `json:"position"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+func (s *stream) take(data []byte, intended time.Time) error {
+	var p piece
+	if err := json.Unmarshal(data, &p); err != nil || len(p.Choices) != 1 {
+		return errors.New("unreadable event " + strings.Clone(string(data)))
+	}
+	c := p.Choices[0]
+	if c.FinishReason != "" {
+		return nil
+	}
+	now := time.Now()
+	if len(s.tokens) == 0 {
+		s.first = now.Sub(intended)
+	} else {
+		s.gaps = append(s.gaps, now.Sub(s.lastNews))
+	}
+	s.lastNews = now
+	s.tokens = append(s.tokens, history.Token{Position: c.Position, Text: c.Text})
+	return nil
+}
--- /dev/null
+++ b/load/tally.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bulrushshed/history"
+	"bulrushshed/jsonhttp"
+	"bulrushshed/outcome"
+)
+
+const (
+	minLatency = 1
+	// maxLatency is in microseconds, as all latencies of a tally.
+	maxLatency = 10 * 60 * 1_000_000
+	digits     = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(minLatency, maxLatency, digits) }
+
+// record keeps a latency; one beyond the bound counts as the bound.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// A value inside the bounds is always taken.
+	_ = h.RecordValue(min(max(d.Microseconds(), minLatency), maxLatency))
+}
+
+// tally counts what became of requests; it is safe for concurrent use.
+type tally struct {
+	mu sync.Mutex
+
+	streams, whole, restarted, refused, cut int
+	checks, checked                         int
+	notSent                                 int
+	wrong                                   []string
+	calls                                   []history.Call
+
+	first, between, answer, callTime, checkTime *hdrhistogram.Histogram
+	longestGap                                  time.Duration
+}
+
+func newTally() *tally {
+	return &tally{
+		first: newHistogram(), between: newHistogram(), answer: newHistogram(),
+		callTime: newHistogram(), checkTime: newHistogram(),
+	}
+}
+
+func (t *tally) unsent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notSent++
+}
+
+func (t *tally) call(c history.Call, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls = append(t.calls, c)
+	record(t.callTime, took)
+}
+
+func (t *tally) check(ok bool, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checks++
+	if ok {
+		t.checked++
+		record(t.checkTime, took)
+	}
+}
+
+func (t *tally) stream(s *stream, sends int, wrong string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.streams++
+	if wrong != "" {
+		t.wrong = append(t.wrong, wrong)
+	}
+	switch {
+	case s.whole:
+		t.whole++
+		record(t.answer, took)
+	case s.refused == outcome.NotRun:
+		t.refused++
+	default:
+		t.cut++
+	}
+	if sends > 1 && s.whole {
+		t.restarted++
+	}
+	if len(s.tokens) > 0 {
+		record(t.first, s.first)
+	}
+	for _, g := range s.gaps {
+		record(t.between, g)
+		t.longestGap = max(t.longestGap, g)
+	}
+}
+
+func (t *tally) line(since time.Duration) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%3.0fs  completions %d whole %d refused %d cut %d | calls %d | checks %d/%d | longest gap %s",
+		since.Seconds(), t.streams, t.whole, t.refused, t.cut, len(t.calls), t.checked, t.checks, t.longestGap.Round(time.Millisecond))
+}
+
+// Latency sums up a distribution, in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Latency{P50: at(50), P95: at(95), P99: at(99), Max: at(100)}
+}
+
+// Report is what came of a load.
+type Report struct {
+	Sent int `json:"sent"`
+	// Whole counts whole answers of all kinds of requests.
+	Whole   int `json:"whole"`
+	NotRun  int `json:"not_run"`
+	Unknown int `json:"unknown"`
+	// Restarted counts completions that their callers had to ask for again.
+	Restarted   int                `json:"restarted"`
+	TokensWrong []string           `json:"tokens_wrong"`
+	Calls       history.CallReport `json:"calls"`
+	// Checked is whether executions were there to hold the calls against.
+	Checked      bool    `json:"checked"`
+	FirstToken   Latency `json:"first_token"`
+	Between      Latency `json:"between_tokens"`
+	Answer       Latency `json:"answer"`
+	Call         Latency `json:"call"`
+	Check        Latency `json:"check"`
+	LongestGapMS float64 `json:"longest_gap_ms"`
+}
+
+// Broken reports whether a promise was broken.
+func (r Report) Broken() bool { return len(r.TokensWrong) > 0 || r.Calls.Broken() }
+
+func (t *tally) report(o Options) (Report, error) {
+	executions, err := fetchExecutions(o.Executions)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	calls := history.CheckCalls(t.calls, executions)
+	if len(o.Executions) == 0 {
+		// Without executions, nothing is known of what ran.
+		calls.FalseNotRun, calls.Phantom = nil, nil
+	}
+	return Report{
+		Sent:        t.streams + t.checks + t.notSent + len(t.calls),
+		Whole:       t.whole + t.checked + calls.Answered,
+		NotRun:      t.refused + calls.NotRun + t.notSent,
+		Unknown:     t.cut + (t.checks - t.checked) + calls.Unknown,
+		Restarted:   t.restarted,
+		TokensWrong: t.wrong, Calls: calls, Checked: len(o.Executions) > 0 && err == nil,
+		FirstToken: latency(t.first), Between: latency(t.between), Answer: latency(t.answer),
+		Call: latency(t.callTime), Check: latency(t.checkTime),
+		LongestGapMS: float64(t.longestGap.Microseconds()) / 1000,
+	}, err
+}
+
+func fetchExecutions(addresses []string) ([]history.Execution, error) {
+	client := jsonhttp.NewClient(jsonhttp.DefaultOptions())
+	var all []history.Execution
+	for _, a := range addresses {
+		var some []history.Execution
+		r := jsonhttp.Request{Method: http.MethodGet, URL: "http://" + a + "/executions", Timeout: 10 * time.Second}
+		if err := client.Call(r, nil, &some); err != nil {
+			return all, err
+		}
+		for _, e := range some {
+			if e.Key != "" {
+				all = append(all, e)
+			}
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,73 @@
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind is what became of a request.
+type Kind string
+
+// The kinds of outcome.
+const (
+	// Answered means that a whole answer is at hand.
+	Answered Kind = "answered"
+	// NotRun means that the request surely did not run.
+	NotRun Kind = "not_run"
+	// Unknown means that the request may have run.
+	Unknown Kind = "outcome_unknown"
+	// Invalid means that the request can't be understood, and did not run.
+	Invalid Kind = "invalid"
+)
+
+// Cause says why a request has no answer; causes are few, so that they can
+// label a metric.
+type Cause string
+
+// The causes of a missing answer.
+const (
+	CauseField       Cause = "field"
+	CauseNoRule      Cause = "no_rule"
+	CauseLimit       Cause = "limit"
+	CauseBusy        Cause = "busy"
+	CauseDeadline    Cause = "deadline"
+	CauseNoEndpoint  Cause = "no_endpoint"
+	CauseNotSent     Cause = "not_sent"
+	CauseRefused     Cause = "refused_by_endpoint"
+	CauseNoAnswer    Cause = "no_answer"
+	CauseStopping    Cause = "stopping"
+	CauseKeyMissing  Cause = "key_missing"
+	CauseKeyReused   Cause = "key_reused"
+	CauseKeyExpired  Cause = "key_expired"
+	CauseHomeGone    Cause = "home_gone"
+	CauseHomeSilent  Cause = "home_silent"
+	CauseLogDown     Cause = "log_down"
+	CauseCallerLeft  Cause = "caller_left"
+	CauseInterrupted Cause = "interrupted"
+)
+
+// Error is a request that has no answer.
+type Error struct {
+	Op    string
+	Kind  Kind
+	Cause Cause
+	// Field names what is wrong, for Invalid.
+	Field   string
+	Message string
+	// RetryAfter is when a caller may try again; 0 means at once.
+	RetryAfter time.Duration
+}
+
+var _ error = (*Error)(nil)
+
+// Error formats the operation, the kind, the cause and the message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (%s): %s", e.Op, e.Kind, e.Cause, e.Message)
+}
+
+// Answer is a whole answer of an endpoint, of any status.
+type Answer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body"`
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,310 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// ErrorKind says what sort of failure an Error is.
+type ErrorKind string
+
+// The kinds of Error.
+const (
+	// ErrorUnreachable means that the request did not leave this host.
+	ErrorUnreachable ErrorKind = "unreachable"
+	// ErrorNoReply means that the request may have arrived.
+	ErrorNoReply ErrorKind = "no_reply"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op    string
+	Kind  ErrorKind
+	Cause error
+}
+
+var _ error = (*Error)(nil)
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("peer %s: %s: %v", e.Op, e.Kind, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Handler answers the messages of peers.
+type Handler interface {
+	Handle(ctx context.Context, m Message) Reply
+}
+
+// Options bound a node.
+type Options struct {
+	// Address is the UDP address of the node.
+	Address string
+	// Timeout bounds the making of a connection.
+	Timeout time.Duration
+	// MaxBytes bounds one message.
+	MaxBytes int64
+}
+
+const (
+	protocol    = "bulrushshed/1"
+	idleTimeout = 90 * time.Second
+	maxStreams  = 4096
+	// keepAlive finds out that a peer's host has gone.
+	keepAlive = 5 * time.Second
+)
+
+// Node is one host's end of the protocol: it serves peers and calls them.
+type Node struct {
+	opts      Options
+	tls       *tls.Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   Handler
+	log       *slog.Logger
+
+	// mu guards conns; it is held for no call.
+	mu    sync.Mutex
+	conns map[string]*dialing
+}
+
+// dialing is a connection to a peer that is being made or has been made.
+type dialing struct {
+	done chan struct{}
+	conn *quic.Conn
+	err  error
+}
+
+// NewNode opens the node's socket. The TLS configuration decides which peers
+// are let in.
+func NewNode(o Options, cfg *tls.Config, h Handler, log *slog.Logger) (*Node, error) {
+	addr, err := net.ResolveUDPAddr("udp", o.Address)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
+	}
+	socket, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
+	}
+	cfg = cfg.Clone()
+	cfg.NextProtos = []string{protocol}
+	n := &Node{
+		opts: o, tls: cfg, handler: h, log: log, conns: map[string]*dialing{},
+		transport: &quic.Transport{Conn: socket},
+	}
+	n.listener, err = n.transport.Listen(n.reporting(), quicConfig())
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
+	}
+	return n, nil
+}
+
+// reporting returns a configuration that logs the addresses of strangers,
+// since a handshake that fails never reaches Accept.
+func (n *Node) reporting() *tls.Config {
+	cfg := n.tls.Clone()
+	cfg.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		from := hello.Conn.RemoteAddr().String()
+		each := n.tls.Clone()
+		each.ClientAuth = tls.RequireAnyClientCert
+		verify := each.VerifyConnection
+		each.VerifyConnection = func(s tls.ConnectionState) error {
+			err := verifyChain(s, n.tls)
+			if err == nil && verify != nil {
+				err = verify(s)
+			}
+			if err != nil {
+				n.log.Warn("peer: refused a stranger", "from", from, "cause", err.Error())
+			}
+			return err
+		}
+		return each, nil
+	}
+	return cfg
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
+		InitialStreamReceiveWindow: 32 << 10, InitialConnectionReceiveWindow: 64 << 10,
+	}
+}
+
+// Serve answers peers until ctx ends, and then closes the socket. It reports
+// its end on the returned channel.
+func (n *Node) Serve(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		done <- n.accept(ctx)
+	}()
+	return done
+}
+
+func (n *Node) accept(ctx context.Context) error {
+	var conns sync.WaitGroup
+	defer func() {
+		// The socket is done with; peers learn it from the closing frame.
+		_ = n.transport.Close()
+		_ = n.transport.Conn.Close()
+		conns.Wait()
+	}()
+	for {
+		conn, err := n.listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return &Error{Op: "accept", Kind: ErrorUnreachable, Cause: err}
+		}
+		conns.Go(func() { n.serveConn(ctx, conn) })
+	}
+}
+
+func (n *Node) serveConn(ctx context.Context, conn *quic.Conn) {
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		streams.Go(func() { n.serveStream(ctx, s) })
+	}
+}
+
+func (n *Node) serveStream(ctx context.Context, s *quic.Stream) {
+	// A peer that has gone needs no end of the stream.
+	defer func() { _ = s.Close() }()
+	var m Message
+	if err := n.read(s, &m); err != nil {
+		n.log.Warn("peer: unreadable message", "cause", err.Error())
+		return
+	}
+	if err := write(s, n.handler.Handle(ctx, m)); err != nil {
+		n.log.Debug("peer: reply not written", "cause", err.Error())
+	}
+}
+
+func (n *Node) read(r io.Reader, out any) error {
+	body, err := io.ReadAll(io.LimitReader(r, n.opts.MaxBytes+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) > n.opts.MaxBytes {
+		return eris.Errorf("got a message of over %d bytes", n.opts.MaxBytes)
+	}
+	return cbor.Unmarshal(body, out)
+}
+
+func write(w io.Writer, in any) error {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(body)
+	return err
+}
+
+// Call sends a message to the peer at an address and returns its reply.
+func (n *Node) Call(ctx context.Context, address string, m Message) (Reply, error) {
+	conn, err := n.conn(ctx, address)
+	if err != nil {
+		return Reply{}, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
+	}
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return Reply{}, &Error{Op: "open", Kind: ErrorUnreachable, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() {
+		s.CancelRead(0)
+		s.CancelWrite(0)
+	})
+	defer stop()
+	if err := write(s, m); err != nil {
+		return Reply{}, &Error{Op: "write", Kind: ErrorNoReply, Cause: err}
+	}
+	if err := s.Close(); err != nil {
+		return Reply{}, &Error{Op: "write", Kind: ErrorNoReply, Cause: err}
+	}
+	var r Reply
+	if err := n.read(s, &r); err != nil {
+		return Reply{}, &Error{Op: "read", Kind: ErrorNoReply, Cause: err}
+	}
+	return r, nil
+}
+
+// conn returns the connection to a peer, and makes it if there is none.
+func (n *Node) conn(ctx context.Context, address string) (*quic.Conn, error) {
+	n.mu.Lock()
+	d, ok := n.conns[address]
+	if ok && d.dead() {
+		ok = false
+	}
+	if !ok {
+		d = &dialing{done: make(chan struct{})}
+		n.conns[address] = d
+	}
+	n.mu.Unlock()
+	if !ok {
+		n.dial(d, address)
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dead reports whether a connection was tried or made, and is no longer there.
+func (d *dialing) dead() bool {
+	select {
+	case <-d.done:
+		return d.err != nil || d.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+func (n *Node) dial(d *dialing, address string) {
+	defer close(d.done)
+	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Timeout)
+	defer cancel()
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		d.err = err
+		return
+	}
+	cfg := n.tls.Clone()
+	cfg.ServerName = addr.IP.String()
+	d.conn, d.err = n.transport.Dial(ctx, addr, cfg, quicConfig())
+}
+
+// Forget drops the connection to a peer that has gone.
+func (n *Node) Forget(address string) {
+	n.mu.Lock()
+	d, ok := n.conns[address]
+	delete(n.conns, address)
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case <-d.done:
+		if d.conn != nil {
+			// The peer has gone; nothing is owed to it.
+			_ = d.conn.CloseWithError(0, "forgotten")
+		}
+	default:
+	}
+}
--- /dev/null
+++ b/route/planner_test.go
@@ -0,0 +1,133 @@
+package route_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bulrushshed/route"
+)
+
+var costs = route.Costs{SameDomain: 100 * time.Microsecond, CrossDomain: time.Millisecond}
+
+// draw makes a graph of holdings that need not cover all layers.
+func draw(t *rapid.T) (layers int, holdings []route.Holding) {
+	layers = rapid.IntRange(1, 12).Draw(t, "layers")
+	for i := range rapid.IntRange(0, 6).Draw(t, "holdings") {
+		from := rapid.IntRange(0, layers-1).Draw(t, "from")
+		holdings = append(holdings, route.Holding{
+			Endpoint: fmt.Sprintf("e%d", i), Model: "m", Version: "v", Incarnation: 1,
+			FailureDomain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
+			Layers:        route.Range{From: from, To: rapid.IntRange(from+1, layers).Draw(t, "to")},
+			LayerTime:     time.Duration(rapid.IntRange(1, 9).Draw(t, "time")) * 100 * time.Microsecond,
+			Slots:         1, Load: rapid.IntRange(0, 3).Draw(t, "load"),
+		})
+	}
+	return layers, holdings
+}
+
+// enumerate is the naive twin: it tries every way through the layers, layer by
+// layer, and returns the least cost, or -1 if there is none.
+func enumerate(layers int, holdings []route.Holding, at, last int) time.Duration {
+	if at == layers {
+		return 0
+	}
+	best := time.Duration(-1)
+	for i, h := range holdings {
+		if !h.Layers.Covers(route.Range{From: at, To: at + 1}) {
+			continue
+		}
+		rest := enumerate(layers, holdings, at+1, i)
+		if rest < 0 {
+			continue
+		}
+		cost := rest + time.Duration(float64(h.LayerTime)*(1+float64(h.Load)))
+		if last >= 0 && last != i {
+			cost += link(holdings[last], h)
+		}
+		if best < 0 || cost < best {
+			best = cost
+		}
+	}
+	return best
+}
+
+func link(a, b route.Holding) time.Duration {
+	if a.FailureDomain == b.FailureDomain {
+		return costs.SameDomain
+	}
+	return costs.CrossDomain
+}
+
+// price is the cost of a route by the same measure.
+func price(r route.Route, holdings []route.Holding) time.Duration {
+	byName := map[string]route.Holding{}
+	for _, h := range holdings {
+		byName[h.Endpoint] = h
+	}
+	var sum time.Duration
+	for i, hop := range r.Hops {
+		h := byName[hop.Endpoint]
+		sum += time.Duration(float64(h.LayerTime)*(1+float64(h.Load))) * time.Duration(hop.Layers.Len())
+		if i > 0 {
+			sum += link(byName[r.Hops[i-1].Endpoint], h)
+		}
+	}
+	return sum
+}
+
+func TestPlanIsValidAndAsGoodAsEnumeration(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		layers, holdings := draw(t)
+		best := enumerate(layers, holdings, 0, -1)
+		r, err := route.NewMap("m", "v", layers, holdings).Plan(route.Pick{}, costs)
+		if best < 0 {
+			var e *route.Error
+			if !errors.As(err, &e) || e.Kind != route.KindNone {
+				t.Fatalf("got %v, want an error of kind none", err)
+			}
+			return
+		}
+		if err != nil {
+			t.Fatalf("got %v, want a route", err)
+		}
+		if err := r.Check(layers); err != nil {
+			t.Fatal(err)
+		}
+		if got := price(r, holdings); got != best {
+			t.Fatalf("got a route of %s, want %s", got, best)
+		}
+	})
+}
+
+func TestCheckRefusesWhatDoesNotTile(t *testing.T) {
+	t.Parallel()
+	hop := func(from, to int) route.Hop { return route.Hop{Layers: route.Range{From: from, To: to}} }
+	for _, c := range []struct {
+		name string
+		hops []route.Hop
+		want string
+	}{
+		{"whole", []route.Hop{hop(0, 4), hop(4, 8)}, ""},
+		{"nothing", nil, "route check: invalid: got layers up to 0, want 8"},
+		{"gap", []route.Hop{hop(0, 4), hop(5, 8)}, "route check: invalid: got hop 1 with layers 5-8, want one that starts at 4"},
+		{"overlap", []route.Hop{hop(0, 4), hop(3, 8)}, "route check: invalid: got hop 1 with layers 3-8, want one that starts at 4"},
+		{"empty hop", []route.Hop{hop(0, 8), hop(8, 8)}, "route check: invalid: got hop 1 with layers 8-8, want one that starts at 8"},
+		{"short", []route.Hop{hop(0, 4), hop(4, 7)}, "route check: invalid: got layers up to 7, want 8"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			got := ""
+			if err := (route.Route{Hops: c.hops}).Check(8); err != nil {
+				got = err.Error()
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,101 @@
+package route
+
+import (
+	"fmt"
+	"time"
+)
+
+// Range is a half-open range of layers, from From up to but without To.
+type Range struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// Len returns the number of layers in the range.
+func (r Range) Len() int { return r.To - r.From }
+
+// Covers reports whether the range holds all layers of s.
+func (r Range) Covers(s Range) bool { return r.From <= s.From && s.To <= r.To }
+
+// Holding is what one endpoint holds of a model, and how it is doing.
+type Holding struct {
+	Endpoint      string `json:"endpoint"`
+	Address       string `json:"address"`
+	Incarnation   int64  `json:"incarnation"`
+	FailureDomain string `json:"failure_domain"`
+	Model         string `json:"model"`
+	Version       string `json:"version"`
+	Layers        Range  `json:"layers"`
+	// LayerTime is the time of one layer for one token on an idle endpoint.
+	LayerTime time.Duration `json:"layer_time"`
+	// Slots is the number of sequences that the endpoint runs at a time.
+	Slots int `json:"slots"`
+	// Load is the number of sequences that it runs or queues now.
+	Load int `json:"load"`
+}
+
+// Hop is one step of a route: an endpoint and the layers that it runs.
+type Hop struct {
+	Endpoint    string `json:"endpoint"`
+	Address     string `json:"address"`
+	Incarnation int64  `json:"incarnation"`
+	Layers      Range  `json:"layers"`
+}
+
+// Route runs every layer of one model version once.
+type Route struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Hops    []Hop  `json:"hops"`
+}
+
+// Check returns an *Error of KindInvalid unless the hops tile [0, layers).
+func (r Route) Check(layers int) error {
+	next := 0
+	for i, h := range r.Hops {
+		if h.Layers.From != next || h.Layers.Len() <= 0 {
+			return &Error{Op: "check", Kind: KindInvalid, Reason: fmt.Sprintf(
+				"got hop %d with layers %d-%d, want one that starts at %d", i, h.Layers.From, h.Layers.To, next)}
+		}
+		next = h.Layers.To
+	}
+	if next != layers {
+		return &Error{Op: "check", Kind: KindInvalid, Reason: fmt.Sprintf("got layers up to %d, want %d", next, layers)}
+	}
+	return nil
+}
+
+// Uses reports whether a hop runs on the endpoint.
+func (r Route) Uses(endpoint string) bool {
+	for _, h := range r.Hops {
+		if h.Endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// Kind says what sort of failure an Error is.
+type Kind string
+
+// The kinds of Error.
+const (
+	// KindInvalid means that hops do not tile the layers.
+	KindInvalid Kind = "invalid"
+	// KindNone means that the holdings at hand do not cover the layers.
+	KindNone Kind = "none"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Reason string
+}
+
+var _ error = (*Error)(nil)
+
+// Error formats the operation, the kind and the reason.
+func (e *Error) Error() string {
+	return fmt.Sprintf("route %s: %s: %s", e.Op, e.Kind, e.Reason)
+}
--- /dev/null
+++ b/rule/fold_test.go
@@ -0,0 +1,86 @@
+package rule_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bulrushshed/rule"
+)
+
+func text(n int) string {
+	return fmt.Sprintf("limit customer=c%d rate=1 burst=1 # o: w\n", n)
+}
+
+func TestOfTwoPublishersAtOneMomentOneIsAccepted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := rule.NewFold()
+	is.Equal(f.Publish(1, rule.Publication{ID: "a", Text: text(1)}), rule.VerdictAccepted)
+	is.Equal(f.Publish(2, rule.Publication{ID: "b", Text: text(2)}), rule.VerdictConflict)
+	is.Equal(f.Current().ID, "a")
+	is.Equal(f.Publish(3, rule.Publication{ID: "b", Base: 1, Text: "nonsense"}), rule.VerdictFaulty)
+	is.Equal(f.Publish(4, rule.Publication{ID: "b", Base: 1, Text: text(2)}), rule.VerdictAccepted)
+	is.Equal(f.Current().Version, rule.Version(4))
+}
+
+// A log whose oldest records are gone must not make a fresh host accept what
+// all others refused.
+func TestAGapHoldsPublicationsUntilACheckpoint(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := rule.NewFold()
+	f.Gap(20)
+	is.Equal(f.Publish(21, rule.Publication{ID: "late", Base: 0, Text: text(1)}), rule.VerdictHeld)
+	is.Equal(f.Publish(22, rule.Publication{ID: "next", Base: 10, Text: text(2)}), rule.VerdictHeld)
+	is.Equal(f.Current().Version, rule.Version(0))
+	is.Equal(f.Restore(rule.Checkpoint{ReadTo: 15, Version: 10, Text: text(3)}), rule.VerdictAccepted)
+	is.True(!f.Complete()) // records 16 to 19 may have changed the version
+	f.Restore(rule.Checkpoint{ReadTo: 19, Version: 10, Text: text(3)})
+	is.True(f.Complete())
+	is.Equal(f.Current().Version, rule.Version(22))
+}
+
+// Hosts that start at any record, restore any checkpoint that another wrote,
+// and read the rest, all end at the version of the host that read it all, and
+// none ever goes back.
+func TestAllFoldsAgree(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "records")
+		full := rule.NewFold()
+		var log []rule.Publication
+		var checkpoints []rule.Checkpoint
+		for offset := int64(1); offset <= int64(n); offset++ {
+			base := rule.Version(rapid.Int64Range(0, offset-1).Draw(t, "base"))
+			if rapid.Bool().Draw(t, "current") {
+				base = full.Current().Version
+			}
+			p := rule.Publication{ID: fmt.Sprint(offset), Base: base, Text: text(int(offset))}
+			log = append(log, p)
+			full.Publish(offset, p)
+			if c, ok := full.Checkpoint(); ok {
+				checkpoints = append(checkpoints, c)
+			}
+		}
+		late := rule.NewFold()
+		first := rapid.Int64Range(1, int64(n)).Draw(t, "first")
+		late.Gap(first)
+		version := rule.Version(0)
+		for offset := first; offset <= int64(n); offset++ {
+			if len(checkpoints) > 0 && rapid.Bool().Draw(t, "restore") {
+				late.Restore(rapid.SampledFrom(checkpoints).Draw(t, "checkpoint"))
+			}
+			late.Publish(offset, log[offset-1])
+			if late.Current().Version < version {
+				t.Fatalf("got version %d, want at least %d", late.Current().Version, version)
+			}
+			version = late.Current().Version
+		}
+		if late.Complete() && late.Current().Version != full.Current().Version {
+			t.Fatalf("got version %d, want %d", late.Current().Version, full.Current().Version)
+		}
+	})
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"bulrushshed/platform"
+	"bulrushshed/service"
+)
+
+// ServiceOptions describe one replica of a plain service.
+type ServiceOptions struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Incarnation   int64
+	// Serves names the services that the replica answers for.
+	Serves []string
+	// WorkTime is the time of one call.
+	WorkTime time.Duration
+	// HonorsKeys makes a repeat of a key return the first answer.
+	HonorsKeys bool
+}
+
+// Execution is one call that a service carried out, for the checks.
+type Execution struct {
+	Key       string    `json:"key"`
+	RequestID string    `json:"request_id"`
+	Method    string    `json:"method"`
+	Path      string    `json:"path"`
+	Replica   string    `json:"replica"`
+	At        time.Time `json:"at"`
+}
+
+// Service answers dispatch, stock and slot calls and counts them by key.
+type Service struct {
+	opts   ServiceOptions
+	faults faults
+
+	mu         sync.Mutex
+	draining   bool
+	running    int
+	executions []Execution
+	answered   map[string]bool
+}
+
+// NewService returns a service that has run nothing.
+func NewService(o ServiceOptions) *Service {
+	return &Service{opts: o, answered: map[string]bool{}}
+}
+
+// App returns the service's HTTP server.
+func (s *Service) App() *fiber.App {
+	app := newApp()
+	app.Get("/executions", func(c fiber.Ctx) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return c.JSON(s.executions)
+	})
+	app.Post("/drain", func(c fiber.Ctx) error {
+		s.Drain()
+		return c.SendStatus(fiber.StatusNoContent)
+	})
+	s.faults.serve(app)
+	app.All("/*", s.serveCall)
+	return app
+}
+
+// Drain refuses new calls from now on.
+func (s *Service) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Busy reports whether calls are under way.
+func (s *Service) Busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running > 0
+}
+
+// Host returns the replica's line for the platform's list.
+func (s *Service) Host() platform.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := platform.Host{
+		Name: s.opts.Name, Address: s.opts.Address, Role: platform.RoleService, Serves: s.opts.Serves,
+		FailureDomain: s.opts.FailureDomain, State: platform.StateLive, Incarnation: s.opts.Incarnation,
+	}
+	if s.draining {
+		h.State = platform.StateLeaving
+	}
+	return h
+}
+
+func (s *Service) serveCall(c fiber.Ctx) error {
+	e := Execution{
+		Key: c.Get(service.HeaderKey), RequestID: c.Get(service.HeaderRequestID),
+		Method: c.Method(), Path: c.Path(), Replica: s.opts.Name, At: time.Now(),
+	}
+	if !s.begin(e) {
+		return notRun(c, fiber.StatusServiceUnavailable, "draining")
+	}
+	defer s.end()
+	time.Sleep(s.opts.WorkTime)
+	if s.faults.loseAnswer() {
+		return drop(c)
+	}
+	return c.JSON(fiber.Map{"ok": true, "replica": s.opts.Name, "key": e.Key})
+}
+
+func (s *Service) begin(e Execution) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.running++
+	if s.opts.HonorsKeys && s.answered[e.Key] {
+		return true
+	}
+	s.answered[e.Key] = true
+	s.executions = append(s.executions, e)
+	return true
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
