--- a/admit/gate.go
+++ b/admit/gate.go
@@ -14,6 +14,7 @@
 
 	mu      sync.Mutex
 	taken   int
+	present int
 	buckets map[string]*bucket
 	closed  bool
 }
@@ -62,11 +63,24 @@
 	g.closed = true
 }
 
-// Taken returns the number of requests inside.
-func (g *Gate) Taken() int {
+// Arrive counts a request on this host, whether or not it gets a place, until
+// the returned function is called.
+func (g *Gate) Arrive() (depart func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.taken
+	g.present++
+	return sync.OnceFunc(func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.present--
+	})
+}
+
+// Present returns the number of requests that have not departed.
+func (g *Gate) Present() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.present
 }
 
 func (g *Gate) take(l rule.Limit, now time.Time) bool {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -73,6 +73,8 @@
 	in     call
 	model  string
 	cancel context.CancelFunc
+	// depart is called once the caller has its answer.
+	depart func()
 	tokens chan token
 	// done carries the end of the run, nil if the answer is whole.
 	done chan error
@@ -97,7 +99,7 @@
 	if err := s.gate.Enter(in.customer, f, in.start); err != nil {
 		return s.refuse(c, in, err)
 	}
-	r := s.start(in, body, model)
+	r := s.start(in, body, model, s.gate.Arrive())
 	c.Set(HeaderRequestID, in.id)
 	if body.Stream != nil && !*body.Stream {
 		return s.whole(c, r)
@@ -124,9 +126,9 @@
 }
 
 // start runs a completion; its place at the gate is given back at its end.
-func (s *Server) start(in call, body completionRequest, model rule.Model) *running {
+func (s *Server) start(in call, body completionRequest, model rule.Model, depart func()) *running {
 	ctx, cancel := context.WithCancel(s.base)
-	r := &running{in: in, model: model.Name, cancel: cancel, tokens: make(chan token, tokenBuffer), done: make(chan error, 1)}
+	r := &running{in: in, model: model.Name, cancel: cancel, depart: depart, tokens: make(chan token, tokenBuffer), done: make(chan error, 1)}
 	req := completion.Request{
 		ID: in.id, Customer: in.customer, Model: model, Prompt: body.Prompt,
 		MaxTokens: body.MaxTokens, Deadline: in.start.Add(model.Deadline),
@@ -143,6 +145,7 @@
 
 // whole gathers the answer and sends it at once.
 func (s *Server) whole(c fiber.Ctx, r *running) error {
+	defer r.depart()
 	defer r.cancel()
 	var text strings.Builder
 	n := 0
@@ -179,6 +182,7 @@
 
 // refuseStream answers a run that ended without a token.
 func (s *Server) refuseStream(c fiber.Ctx, r *running) error {
+	defer r.depart()
 	err := <-r.done
 	if err == nil {
 		err = &outcome.Error{Op: "complete", Kind: outcome.Unknown, Cause: outcome.CauseInterrupted, Message: "no token"}
--- a/caller/server.go
+++ b/caller/server.go
@@ -41,6 +41,9 @@
 
 // Gate admits requests.
 type Gate interface {
+	// Arrive counts a request until depart is called.
+	Arrive() (depart func())
+	// Enter takes a place, which is given back by Leave.
 	Enter(customer string, f *rule.File, now time.Time) error
 	Leave()
 }
@@ -153,6 +156,7 @@
 
 // serveCall passes a call on to the plain service that its class names.
 func (s *Server) serveCall(c fiber.Ctx) error {
+	defer s.gate.Arrive()()
 	in := newCall(c)
 	f := s.rules.Current().File
 	if !plain(c.Path()) {
@@ -166,10 +170,6 @@
 	if in.customer == "" {
 		return s.refuse(c, in, invalid(HeaderCustomer, "got no customer, want its name"))
 	}
-	if err := s.gate.Enter(in.customer, f, in.start); err != nil {
-		return s.refuse(c, in, err)
-	}
-	defer s.gate.Leave()
 	answer, err := s.deliverer.Deliver(s.base, delivery.Request{
 		ID: in.id, Customer: in.customer, Class: class, Method: c.Method(), Path: target(c),
 		Key: c.Get(HeaderKey), ContentType: c.Get(fiber.HeaderContentType), Body: c.Body(),
@@ -178,9 +178,14 @@
 	if err != nil {
 		return s.refuse(c, in, err)
 	}
-	s.meter.Answered(in.customer, in.class, outcome.Answered, "", time.Since(in.start))
+	// A service that fails may have run the call or not.
+	kind := outcome.Answered
+	if answer.Status >= fiber.StatusInternalServerError {
+		kind = outcome.Unknown
+	}
+	s.meter.Answered(in.customer, in.class, kind, outcome.CauseNoAnswer, time.Since(in.start))
 	c.Set(HeaderRequestID, in.id)
-	c.Set(HeaderOutcome, string(outcome.Answered))
+	c.Set(HeaderOutcome, string(kind))
 	c.Set(fiber.HeaderContentType, answer.ContentType)
 	return c.Status(answer.Status).Send(answer.Body)
 }
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -15,6 +15,7 @@
 // write passes tokens on until the run ends or the caller has left, and then
 // ends the run.
 func (s *Server) write(w *bufio.Writer, r *running) {
+	defer r.depart()
 	defer r.cancel()
 	err := s.writeTokens(w, r)
 	if err != nil {
--- a/claim/table.go
+++ b/claim/table.go
@@ -30,6 +30,8 @@
 	VerdictReused Verdict = "reused"
 	// VerdictFull means that the table has no room for a new key.
 	VerdictFull Verdict = "full"
+	// VerdictClosed means that the home takes no new key any more.
+	VerdictClosed Verdict = "closed"
 	// VerdictExpired means that the key is too old for its claim to be
 	// still at hand.
 	VerdictExpired Verdict = "expired"
@@ -71,6 +73,7 @@
 	claims map[string]*Claimed
 	// running is the number of claims without a result.
 	running int
+	closed  bool
 	sweep   time.Time
 	// latest never goes back, even if the wall clock does: a claim that was
 	// dropped as expired must not become usable again.
@@ -96,6 +99,9 @@
 	if !now.Before(expires) {
 		return VerdictExpired, nil
 	}
+	if t.closed {
+		return VerdictClosed, nil
+	}
 	if len(t.claims) >= t.opts.Capacity {
 		return VerdictFull, nil
 	}
@@ -146,14 +152,12 @@
 	}
 }
 
-// Finish sets the result of a call that Begin let run. A call that surely did
-// not run gives its key back, so that a repeat may run.
-func (t *Table) Finish(key string, c *Claimed, r Result) {
+// Finish sets the result of a call that Begin let run. It is final even for a
+// call that did not run: an older copy of it may still be under way, and must
+// not run once its caller was told that it did not.
+func (t *Table) Finish(c *Claimed, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Err != nil && r.Err.Kind == outcome.NotRun {
-		delete(t.claims, key)
-	}
 	if len(r.Answer.Body) > t.opts.MaxAnswer {
 		r = Result{Err: &outcome.Error{
 			Op: "replay", Kind: outcome.Unknown, Cause: outcome.CauseNoAnswer,
@@ -165,6 +169,13 @@
 	close(c.done)
 }
 
+// Close takes no new key from now on.
+func (t *Table) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
 // Running returns the number of claims whose calls have not ended.
 func (t *Table) Running() int {
 	t.mu.Lock()
--- a/cmd/bulrushctl/hosts.go
+++ b/cmd/bulrushctl/hosts.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"bulrushshed/jsonhttp"
+	"bulrushshed/keys"
 	"bulrushshed/operator"
 	"bulrushshed/platform"
 )
@@ -20,14 +21,39 @@
 	hostTimeout = 5 * time.Second
 )
 
-// askHost reads from an entry host's surface for operators.
-func askHost(host, path string, out any) error {
-	client := jsonhttp.NewClient(jsonhttp.DefaultOptions())
-	return client.Call(jsonhttp.Request{Method: http.MethodGet, URL: "http://" + host + path, Timeout: hostTimeout}, nil, out)
+// hostFlags say which host to ask, and how to show who asks.
+type hostFlags struct {
+	host string
+	ca   string
+	cert string
+	key  string
+}
+
+func (h *hostFlags) set(f *flag.FlagSet) {
+	f.StringVar(&h.host, "host", defaultHost, "operators' address of an entry host")
+	f.StringVar(&h.ca, "ca", "", "certificate file of the CA; needed beyond loopback")
+	f.StringVar(&h.cert, "cert", "", "certificate file of the operator")
+	f.StringVar(&h.key, "key", "", "key file of the operator")
+}
+
+// ask reads from an entry host's surface for operators.
+func (h *hostFlags) ask(path string, out any) error {
+	opts := jsonhttp.DefaultOptions()
+	scheme := "http://"
+	if h.cert != "" {
+		cfg, err := keys.Load(h.ca, h.cert, h.key)
+		if err != nil {
+			return err
+		}
+		opts.TLS = keys.For(cfg, keys.RoleHost)
+		scheme = "https://"
+	}
+	r := jsonhttp.Request{Method: http.MethodGet, URL: scheme + h.host + path, Timeout: hostTimeout}
+	return jsonhttp.NewClient(opts).Call(r, nil, out)
 }
 
 type statusCommand struct {
-	host string
+	hostFlags
 	json bool
 	text bool
 }
@@ -39,14 +65,14 @@
 }
 
 func (c *statusCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.host, "host", defaultHost, "operators' address of an entry host")
+	c.set(f)
 	f.BoolVar(&c.json, "json", false, "print as JSON")
 	f.BoolVar(&c.text, "text", false, "print the rule file in force")
 }
 
 func (c *statusCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	var s operator.Status
-	if err := askHost(c.host, fmt.Sprintf("/v1/status?text=%t", c.text), &s); err != nil {
+	if err := c.ask(fmt.Sprintf("/v1/status?text=%t", c.text), &s); err != nil {
 		return fail(exitUnavailable, err, "name a host that is up with -host")
 	}
 	if c.json {
@@ -90,7 +116,7 @@
 }
 
 type explainCommand struct {
-	host  string
+	hostFlags
 	json  bool
 	query operator.Query
 }
@@ -102,7 +128,7 @@
 }
 
 func (c *explainCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.host, "host", defaultHost, "operators' address of an entry host")
+	c.set(f)
 	f.BoolVar(&c.json, "json", false, "print as JSON")
 	f.StringVar(&c.query.Customer, "customer", "", "customer")
 	f.StringVar(&c.query.Path, "path", "", "path of a call")
@@ -115,7 +141,7 @@
 	}
 	values := url.Values{"customer": {c.query.Customer}, "path": {c.query.Path}, "model": {c.query.Model}}
 	var e operator.Explanation
-	if err := askHost(c.host, "/v1/explain?"+values.Encode(), &e); err != nil {
+	if err := c.ask("/v1/explain?"+values.Encode(), &e); err != nil {
 		return fail(exitUnavailable, err, "name a host that is up with -host")
 	}
 	if c.json {
--- a/cmd/bulrushctl/load.go
+++ b/cmd/bulrushctl/load.go
@@ -71,7 +71,7 @@
 	fmt.Printf("sent %d, whole %d, refused as not run %d, unknown %d, restarted by callers %d\n",
 		r.Sent, r.Whole, r.NotRun, r.Unknown, r.Restarted)
 	if r.Checked {
-		fmt.Printf("non-idempotent calls %d: doubled %d, false not run %d, answered but not run %d\n",
+		fmt.Printf("keys of non-idempotent calls %d: doubled %d, false not run %d, answered but not run %d\n",
 			r.Calls.Calls, len(r.Calls.Doubled), len(r.Calls.FalseNotRun), len(r.Calls.Phantom))
 	}
 	fmt.Printf("answers with wrong tokens %d\n", len(r.TokensWrong))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,8 @@
 	directory *directory.Directory
 	keeper    *publication.Keeper
 	claims    *claim.Table
+	journal   *claim.Journal
+	ledger    *claim.Ledger
 	items     *gossip.Table
 	inflight  *balance.Inflight
 	gate      *admit.Gate
@@ -142,7 +144,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
-	operators, err := operator.Listen(d.cfg.OperatorAddress, d.tls)
+	operators, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for operators")
 	}
@@ -163,6 +165,7 @@
 		every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
 		every(ctx, d.cfg.Times.StatusEvery.D(), d.readStatuses),
 		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
+		d.keepJournal(ctx),
 	}
 }
 
@@ -183,6 +186,3 @@
 	}()
 	return done
 }
-
-// Record hears of the log's records that are no rules.
-func (d *Daemon) Record(platform.Record) {}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,12 +20,16 @@
 	start := time.Now()
 	bound := start.Add(d.cfg.Times.Drain.D())
 	d.draining.Store(true)
-	d.log.Info("daemon: draining", "requests", d.gate.Taken(), "claims", d.claims.Running())
+	d.log.Info("daemon: draining", "requests", d.gate.Present(), "claims", d.claims.Running())
 	d.tellLeaving()
 	d.waitUntil(start.Add(d.cfg.Times.EntriesValid.D()), bound)
-	d.waitFor(func() bool { return d.gate.Taken() == 0 && d.claims.Running() == 0 }, bound)
+	d.claims.Close()
+	d.waitFor(func() bool { return d.gate.Present() == 0 && d.claims.Running() == 0 }, bound)
 	d.gate.Close()
-	cut := d.gate.Taken()
+	cut := max(d.gate.Present(), d.claims.Running())
+	if cut == 0 {
+		d.settle(context.Background())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
 	if err := s.callers.ShutdownWithContext(ctx); err != nil {
--- /dev/null
+++ b/daemon/journal.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bulrushshed/claim"
+	"bulrushshed/delivery"
+	"bulrushshed/outcome"
+	"bulrushshed/platform"
+	"bulrushshed/publication"
+)
+
+const (
+	// journalItems and journalAnswer bound a batch of the journal.
+	journalItems  = 500
+	journalAnswer = 512
+	// journalEvery is the least time between two batches of one host, and
+	// journalShare the time that each entry host adds to it, so that the
+	// fleet as a whole stays within the log's rate of appends.
+	journalEvery = 100 * time.Millisecond
+	journalShare = 10 * time.Millisecond
+	// settleWait bounds the wait for the log at the end of a graceful stop.
+	settleWait = 5 * time.Second
+)
+
+var _ publication.Observer = (*Daemon)(nil)
+
+// Record folds the log's records that are no rules.
+func (d *Daemon) Record(r platform.Record) {
+	if r.Type != platform.RecordOutcomes {
+		return
+	}
+	var b claim.Batch
+	if err := json.Unmarshal(r.Body, &b); err != nil {
+		d.log.Warn("daemon: unreadable batch", "offset", r.Offset, "cause", err.Error())
+		return
+	}
+	if b.Home != d.self {
+		d.ledger.Fold(r.Offset, b, time.Now())
+	}
+}
+
+// keepJournal appends outcomes behind the requests until ctx ends.
+func (d *Daemon) keepJournal(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if b, ok := d.journal.Next(); ok {
+				d.appendBatch(b)
+			}
+			pause(ctx, journalEvery+journalShare*time.Duration(len(d.directory.View().Entries)))
+		}
+		done <- nil
+	}()
+	return done
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// appendBatch appends a batch; one whose answer was lost is appended again,
+// which the ledgers take for the same.
+func (d *Daemon) appendBatch(b claim.Batch) bool {
+	body, err := json.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	id := fmt.Sprintf("%s-%d-%d", b.Home.Host, b.Home.Incarnation, b.Seq)
+	if _, err := d.platform.Append(platform.Entry{ID: id, Type: platform.RecordOutcomes, Body: body}); err != nil {
+		d.log.Debug("daemon: batch not appended", "seq", b.Seq, "cause", err.Error())
+		return false
+	}
+	d.journal.Done(b.Seq)
+	return true
+}
+
+// settle ends the journal of a host that runs no call any more, so that other
+// hosts can tell which of its keys never ran.
+func (d *Daemon) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		b, ok := d.journal.Settle()
+		if !ok {
+			b, ok = d.journal.Next()
+		}
+		if ok && d.appendBatch(b) && b.Settled {
+			return
+		}
+		pause(ctx, drainPoll)
+	}
+	d.log.Warn("daemon: journal not settled", "pending", d.journal.Pending())
+}
+
+// past looks keys up whose homes have gone.
+type past struct{ d *Daemon }
+
+var _ delivery.Past = past{}
+
+// Look returns what the log knows of a key.
+func (p past) Look(key claim.Key) (claim.Result, bool) {
+	finding, offset, kind := p.d.ledger.Find(key, time.Now())
+	switch finding {
+	case claim.FindingNeverRan:
+		return claim.Result{Err: &outcome.Error{
+			Op: "look back", Kind: outcome.NotRun, Cause: outcome.CauseHomeGone,
+			Message: "the key's home has stopped without running its call; take a new key",
+		}}, true
+	case claim.FindingOutcome:
+		return p.outcome(key, offset, kind), true
+	case claim.FindingNone:
+	}
+	return claim.Result{}, false
+}
+
+// outcome reads the outcome of a key back from the log.
+func (p past) outcome(key claim.Key, offset int64, kind outcome.Kind) claim.Result {
+	ran := claim.Result{Err: &outcome.Error{
+		Op: "look back", Kind: outcome.Unknown, Cause: outcome.CauseHomeGone, Message: "the call was sent; its answer is gone",
+	}}
+	if kind != outcome.Answered {
+		return ran
+	}
+	page, err := p.d.platform.Read(offset, 1, 0)
+	if err != nil || len(page.Records) != 1 || page.Records[0].Offset != offset {
+		return ran
+	}
+	var b claim.Batch
+	if err := json.Unmarshal(page.Records[0].Body, &b); err != nil {
+		return ran
+	}
+	for _, o := range b.Outcomes {
+		if o.Key == key.String() && o.Answer != nil {
+			return claim.Result{Answer: *o.Answer}
+		}
+	}
+	return ran
+}
+
+// gate admits calls by the rules in force.
+type gate struct{ d *Daemon }
+
+var _ delivery.Gate = gate{}
+
+// Enter takes a place for a call.
+func (g gate) Enter(customer string, now time.Time) error {
+	return g.d.gate.Enter(customer, g.d.keeper.Current().File, now)
+}
+
+// Leave gives the place back.
+func (g gate) Leave() { g.d.gate.Leave() }
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -66,9 +66,13 @@
 	return caller.Entry{Name: h.Name, Address: h.Address, FailureDomain: h.FailureDomain}
 }
 
-// IssueKeys returns n idempotency keys whose home is this host.
+// IssueKeys returns n idempotency keys whose home is this host, or none once
+// it is stopping.
 func (p planner) IssueKeys(n int) []string {
 	keys := make([]string, 0, n)
+	if p.d.draining.Load() {
+		return keys
+	}
 	for range n {
 		keys = append(keys, claim.Issue(p.d.self, time.Now()).String())
 	}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -19,7 +19,7 @@
 	failure, _ := d.listFailure.Load().(string)
 	s := operator.Status{
 		Name: d.self.Host, FailureDomain: d.cfg.FailureDomain, Incarnation: d.self.Incarnation,
-		Draining: d.draining.Load(), Rules: d.keeper.State(), Requests: d.gate.Taken(), Claims: d.claims.Len(),
+		Draining: d.draining.Load(), Rules: d.keeper.State(), Requests: d.gate.Present(), Claims: d.claims.Len(),
 		Items: d.items.Len(), PlatformFailure: failure, Hosts: d.directory.View().Hosts, At: time.Now(),
 	}
 	if withText {
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -106,6 +106,8 @@
 		platform: platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 		engines:  enginehttp.NewClient(t.Peer.D()),
 	}
+	d.journal = claim.NewJournal(d.self, journalItems, journalAnswer)
+	d.ledger = claim.NewLedger(t.KeyLife.D())
 	d.canceller = newCanceller(d.engines, log)
 	d.keeper = publication.NewKeeper(
 		publication.Options{Limit: logLimit, Wait: logWait, Pause: logPause}, d.spreadRules, log)
@@ -115,7 +117,7 @@
 
 func (d *Daemon) gauges() {
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.keeper.Current().Version) })
-	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.Taken()) })
+	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.Present()) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.keeper.State().LastRead).Seconds() })
 }
@@ -131,8 +133,10 @@
 
 func newDeliverer(i do.Injector) (*delivery.Deliverer, error) {
 	d := do.MustInvoke[*Daemon](i)
-	x := delivery.New(delivery.Options{Self: d.self, Attempts: d.cfg.Limits.Attempts},
-		servicehttp.NewClient(), planner{d}, homes{d}, d.claims, d.meter, d.log)
+	x := delivery.New(delivery.Options{Self: d.self, Attempts: d.cfg.Limits.Attempts}, delivery.Parts{
+		Services: servicehttp.NewClient(), Replicas: planner{d}, Homes: homes{d}, Table: d.claims,
+		Journal: d.journal, Past: past{d}, Gate: gate{d}, Counter: d.meter, Log: d.log,
+	})
 	d.deliverer = x
 	return x, nil
 }
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -64,6 +64,25 @@
 	Forward(ctx context.Context, home claim.Home, r Request) (outcome.Answer, error)
 }
 
+// Past knows what became of keys whose homes have gone.
+type Past interface {
+	// Look returns the result of a key's call; ok is false if nobody can
+	// tell.
+	Look(key claim.Key) (r claim.Result, ok bool)
+}
+
+// Journal notes results where other hosts find them later.
+type Journal interface {
+	Add(key string, r claim.Result)
+}
+
+// Gate admits calls.
+type Gate interface {
+	// Enter takes a place; the error is an *outcome.Error of kind NotRun.
+	Enter(customer string, now time.Time) error
+	Leave()
+}
+
 // Counter counts what went other than planned.
 type Counter interface {
 	Retried(class string)
@@ -79,26 +98,32 @@
 
 // Deliverer answers calls; it is safe for concurrent use.
 type Deliverer struct {
-	opts     Options
-	services Services
-	replicas Replicas
-	homes    Homes
-	table    *claim.Table
-	counter  Counter
-	log      *slog.Logger
+	Parts
+	opts Options
+}
+
+// Parts are what a deliverer works with.
+type Parts struct {
+	Services Services
+	Replicas Replicas
+	Homes    Homes
+	Table    *claim.Table
+	Journal  Journal
+	Past     Past
+	Gate     Gate
+	Counter  Counter
+	Log      *slog.Logger
 }
 
-// New returns a deliverer whose claims are in table.
-func New(o Options, s Services, r Replicas, h Homes, t *claim.Table, c Counter, log *slog.Logger) *Deliverer {
-	return &Deliverer{opts: o, services: s, replicas: r, homes: h, table: t, counter: c, log: log}
+// New returns a deliverer.
+func New(o Options, p Parts) *Deliverer {
+	return &Deliverer{opts: o, Parts: p}
 }
 
 // Deliver answers a call. The error is an *outcome.Error.
 func (d *Deliverer) Deliver(ctx context.Context, r Request) (outcome.Answer, error) {
 	if r.Class.Idempotent {
-		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-		defer cancel()
-		return d.try(ctx, r, d.services.SendIdempotent)
+		return d.idempotent(ctx, r)
 	}
 	if r.Key == "" {
 		return outcome.Answer{}, &outcome.Error{
@@ -114,17 +139,49 @@
 		}
 	}
 	if key.Home.Host != d.opts.Self.Host {
-		return d.homes.Forward(ctx, key.Home, r)
+		return d.elsewhere(ctx, key, r)
 	}
 	return d.AtHome(ctx, key, r)
 }
 
+func (d *Deliverer) idempotent(ctx context.Context, r Request) (outcome.Answer, error) {
+	if err := d.Gate.Enter(r.Customer, time.Now()); err != nil {
+		return outcome.Answer{}, err
+	}
+	defer d.Gate.Leave()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return d.try(ctx, r, d.Services.SendIdempotent)
+}
+
+// elsewhere passes a call on to the home of its key. If that does not answer,
+// only the home's journal can tell what became of the call.
+func (d *Deliverer) elsewhere(ctx context.Context, key claim.Key, r Request) (outcome.Answer, error) {
+	answer, err := d.Homes.Forward(ctx, key.Home, r)
+	if err == nil || asOutcome(err).Kind != outcome.Unknown {
+		return answer, err
+	}
+	return d.lookBack(key, err)
+}
+
+// lookBack returns what the log knows of a key, or else the error.
+func (d *Deliverer) lookBack(key claim.Key, err error) (outcome.Answer, error) {
+	result, ok := d.Past.Look(key)
+	switch {
+	case !ok:
+		return outcome.Answer{}, err
+	case result.Err != nil:
+		return outcome.Answer{}, result.Err
+	}
+	return result.Answer, nil
+}
+
 // AtHome answers a non-idempotent call whose key names this host.
 func (d *Deliverer) AtHome(ctx context.Context, key claim.Key, r Request) (outcome.Answer, error) {
 	if key.Home != d.opts.Self {
-		return outcome.Answer{}, unknown(outcome.CauseHomeGone, "the key's home has restarted since it issued the key")
+		return d.lookBack(key, unknown(outcome.CauseHomeGone, "the key's home has restarted since it issued the key"))
 	}
-	verdict, c := d.table.Begin(r.Key, key.Issued, r.fingerprint(), time.Now())
+	verdict, c := d.Table.Begin(r.Key, key.Issued, r.fingerprint(), time.Now())
 	switch verdict {
 	case claim.VerdictRun:
 		return d.runClaimed(ctx, c, r)
@@ -136,9 +193,12 @@
 			Message: "got a key that was first used for another call, want a key of its own for each call",
 		}
 	case claim.VerdictFull:
+		// Without room to note the refusal, an older copy of the call could
+		// still run after it.
+		return outcome.Answer{}, unknown(outcome.CauseBusy, "too many keys in use")
+	case claim.VerdictClosed:
 		return outcome.Answer{}, &outcome.Error{
-			Op: "claim", Kind: outcome.NotRun, Cause: outcome.CauseBusy,
-			Message: "too many keys in use", RetryAfter: time.Second,
+			Op: "claim", Kind: outcome.NotRun, Cause: outcome.CauseStopping, Message: "the key's home is stopping",
 		}
 	case claim.VerdictExpired:
 		return outcome.Answer{}, unknown(outcome.CauseKeyExpired, "the key is too old to tell whether its call ran")
@@ -151,11 +211,21 @@
 func (d *Deliverer) runClaimed(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
-	answer, err := d.try(ctx, r, d.services.Send)
-	d.table.Finish(r.Key, c, claim.Result{Answer: answer, Err: asOutcome(err)})
+	answer, err := d.admitted(ctx, r)
+	result := claim.Result{Answer: answer, Err: asOutcome(err)}
+	d.Journal.Add(r.Key, result)
+	d.Table.Finish(c, result)
 	return answer, err
 }
 
+func (d *Deliverer) admitted(ctx context.Context, r Request) (outcome.Answer, error) {
+	if err := d.Gate.Enter(r.Customer, time.Now()); err != nil {
+		return outcome.Answer{}, err
+	}
+	defer d.Gate.Leave()
+	return d.try(ctx, r, d.Services.Send)
+}
+
 func (d *Deliverer) await(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -173,38 +243,47 @@
 
 type send func(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
 
+// firstServerError is the lowest status by which a service says that it
+// failed.
+const firstServerError = 500
+
 // try sends a call to one replica after another. It goes on only if the last
 // one surely did not run it, or if the call is idempotent.
 func (d *Deliverer) try(ctx context.Context, r Request, send send) (outcome.Answer, error) {
 	var last error
+	var failed *outcome.Answer
 	tried := map[string]bool{}
 	for n := range d.opts.Attempts {
-		replica, release, ok := d.replicas.Pick(r.Class.Service, tried)
+		replica, release, ok := d.Replicas.Pick(r.Class.Service, tried)
 		if !ok {
 			break
 		}
 		tried[replica.Endpoint] = true
 		answer, err := d.sendTo(ctx, r, n+1, replica, send)
 		release()
-		if err == nil {
+		if err == nil && answer.Status < firstServerError {
 			return answer, nil
 		}
-		last = worst(last, err)
-		if !r.Class.Idempotent && !notRun(err) {
-			break
+		if err == nil {
+			failed = &answer
+		} else {
+			last = worst(last, err)
 		}
-		if ctx.Err() != nil {
+		if !r.Class.Idempotent && !notRun(err) || ctx.Err() != nil {
 			break
 		}
-		d.counter.Retried(r.Class.Name)
+		d.Counter.Retried(r.Class.Name)
 	}
-	if last == nil {
-		last = &outcome.Error{
-			Op: "pick", Kind: outcome.NotRun, Cause: outcome.CauseNoEndpoint,
-			Message: "no replica of " + r.Class.Service + " takes new work", RetryAfter: time.Second,
-		}
+	switch {
+	case failed != nil:
+		return *failed, nil
+	case last != nil:
+		return outcome.Answer{}, last
+	}
+	return outcome.Answer{}, &outcome.Error{
+		Op: "pick", Kind: outcome.NotRun, Cause: outcome.CauseNoEndpoint,
+		Message: "no replica of " + r.Class.Service + " takes new work", RetryAfter: time.Second,
 	}
-	return outcome.Answer{}, last
 }
 
 func (d *Deliverer) sendTo(ctx context.Context, r Request, attempt int, to Replica, send send) (outcome.Answer, error) {
@@ -221,9 +300,9 @@
 		ContentType: r.ContentType, Body: r.Body, Timeout: left,
 	})
 	if err != nil {
-		d.log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
+		d.Log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
 			"endpoint", to.Endpoint, "cause", err.Error())
-		d.replicas.Suspect(to.Endpoint, to.Incarnation)
+		d.Replicas.Suspect(to.Endpoint, to.Incarnation)
 	}
 	return answer, err
 }
--- a/history/call.go
+++ b/history/call.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"slices"
 	"time"
 
 	"bulrushshed/outcome"
@@ -34,8 +35,8 @@
 	Unknown  int `json:"unknown"`
 	// Doubled are the keys that ran more than once.
 	Doubled []string `json:"doubled"`
-	// FalseNotRun are the keys whose callers were last told that they did
-	// not run, though they did.
+	// FalseNotRun are the keys of which a caller was ever told that they
+	// did not run, though they did, before or after.
 	FalseNotRun []string `json:"false_not_run"`
 	// Phantom are the keys that were answered though they never ran.
 	Phantom []string `json:"phantom"`
@@ -65,7 +66,7 @@
 }
 
 func (r *CallReport) add(c Call, runs int) {
-	switch final(c) {
+	switch c.Final() {
 	case outcome.Answered:
 		r.Answered++
 		if runs == 0 {
@@ -73,23 +74,26 @@
 		}
 	case outcome.NotRun:
 		r.NotRun++
-		if runs > 0 {
-			r.FalseNotRun = append(r.FalseNotRun, c.Key)
-		}
 	default:
 		r.Unknown++
 	}
+	refused := slices.ContainsFunc(c.Sends, func(s Send) bool { return s.Kind == outcome.NotRun })
+	if refused && runs > 0 {
+		r.FalseNotRun = append(r.FalseNotRun, c.Key)
+	}
 }
 
-// final is what a caller believes in the end: an answer settles the call, and
-// otherwise the last word counts.
-func final(c Call) outcome.Kind {
+// Final is what a caller knows in the end: an answer settles the call, and so
+// does a refusal.
+func (c Call) Final() outcome.Kind {
 	last := outcome.Unknown
 	for _, s := range c.Sends {
 		if s.Kind == outcome.Answered {
 			return s.Kind
 		}
-		last = s.Kind
+		if s.Kind == outcome.NotRun {
+			last = s.Kind
+		}
 	}
 	return last
 }
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -1,6 +1,7 @@
 package jsonhttp
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -65,6 +66,8 @@
 	IdleTimeout time.Duration
 	MaxConns    int
 	MaxBody     int
+	// TLS is used for https URLs; nil for none.
+	TLS *tls.Config
 }
 
 // DefaultOptions suit calls between hosts of one region.
@@ -95,6 +98,7 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
+		TLSConfig:                 o.TLS,
 		Dial: func(address string) (net.Conn, error) {
 			conn, err := net.DialTimeout("tcp", address, o.DialTimeout)
 			if err != nil {
--- a/load/request.go
+++ b/load/request.go
@@ -24,15 +24,35 @@
 // sendPause is the wait between two sends.
 const sendPause = 100 * time.Millisecond
 
-// call makes a non-idempotent call, and repeats it under the same key until
-// it has an answer.
+// maxKeys is how many keys a caller uses for one request: a key that was
+// refused as not run is used up.
+const maxKeys = 4
+
+// call makes a non-idempotent call until it has an answer, or until nobody can
+// tell what became of it.
 func (d *driver) call(ctx context.Context, customer string, intended time.Time) {
-	key, home, err := d.book.key()
-	if err != nil || key == "" {
-		// Nothing was sent, so nothing ran.
-		d.tally.unsent()
-		return
+	kind := outcome.NotRun
+	for range maxKeys {
+		key, home, err := d.book.key()
+		if err != nil || key == "" {
+			continue
+		}
+		c := d.callUnder(ctx, key, home, customer)
+		kind = c.Final()
+		if len(c.Sends) == 0 {
+			kind = outcome.NotRun
+		}
+		d.tally.key(c)
+		if kind != outcome.NotRun {
+			break
+		}
+		time.Sleep(sendPause)
 	}
+	d.tally.call(kind, time.Since(intended))
+}
+
+// callUnder sends copies of a call under one key until it is settled.
+func (d *driver) callUnder(ctx context.Context, key, home, customer string) history.Call {
 	c := history.Call{Key: key}
 	avoid := map[string]bool{}
 	to := home
@@ -41,27 +61,19 @@
 		if sent {
 			c.Sends = append(c.Sends, history.Send{Entry: to, Kind: kind, At: time.Now()})
 		}
-		if kind == outcome.Answered || kind == outcome.Invalid {
-			break
+		if sent && kind != outcome.Unknown {
+			return c
 		}
-		avoid[to] = true
 		d.book.forget(to)
-		if !sent && len(c.Sends) == 0 {
-			// The home never saw the key, so a fresh one is as good.
-			if k, h, err := d.book.key(); err == nil && k != "" {
-				c.Key = k
-				key, to = k, h
-				continue
-			}
+		if len(c.Sends) == 0 {
+			// No host has seen the key, so a fresh one is as good.
+			return c
 		}
+		avoid[to] = true
 		time.Sleep(sendPause)
 		to = d.book.address(avoid)
 	}
-	if len(c.Sends) == 0 {
-		d.tally.unsent()
-		return
-	}
-	d.tally.call(c, time.Since(intended))
+	return c
 }
 
 // sendCall sends one copy of a call; sent is false if no byte of it left.
--- a/load/tally.go
+++ b/load/tally.go
@@ -34,9 +34,11 @@
 
 	streams, whole, restarted, refused, cut int
 	checks, checked                         int
-	notSent                                 int
 	wrong                                   []string
-	calls                                   []history.Call
+	// callKinds counts non-idempotent calls by what became of them; keys are
+	// all the keys that they used.
+	callKinds map[outcome.Kind]int
+	keys      []history.Call
 
 	first, between, answer, callTime, checkTime *hdrhistogram.Histogram
 	longestGap                                  time.Duration
@@ -44,22 +46,33 @@
 
 func newTally() *tally {
 	return &tally{
-		first: newHistogram(), between: newHistogram(), answer: newHistogram(),
+		callKinds: map[outcome.Kind]int{},
+		first:     newHistogram(), between: newHistogram(), answer: newHistogram(),
 		callTime: newHistogram(), checkTime: newHistogram(),
 	}
 }
 
-func (t *tally) unsent() {
+func (t *tally) key(c history.Call) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.notSent++
+	t.keys = append(t.keys, c)
 }
 
-func (t *tally) call(c history.Call, took time.Duration) {
+func (t *tally) call(kind outcome.Kind, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.calls = append(t.calls, c)
-	record(t.callTime, took)
+	t.callKinds[kind]++
+	if kind == outcome.Answered {
+		record(t.callTime, took)
+	}
+}
+
+func (t *tally) callCount() int {
+	n := 0
+	for _, k := range t.callKinds {
+		n += k
+	}
+	return n
 }
 
 func (t *tally) check(ok bool, took time.Duration) {
@@ -104,7 +117,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return fmt.Sprintf("%3.0fs  completions %d whole %d refused %d cut %d | calls %d | checks %d/%d | longest gap %s",
-		since.Seconds(), t.streams, t.whole, t.refused, t.cut, len(t.calls), t.checked, t.checks, t.longestGap.Round(time.Millisecond))
+		since.Seconds(), t.streams, t.whole, t.refused, t.cut, t.callCount(), t.checked, t.checks, t.longestGap.Round(time.Millisecond))
 }
 
 // Latency sums up a distribution, in milliseconds.
@@ -148,16 +161,16 @@
 	executions, err := fetchExecutions(o.Executions)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	calls := history.CheckCalls(t.calls, executions)
+	calls := history.CheckCalls(t.keys, executions)
 	if len(o.Executions) == 0 {
 		// Without executions, nothing is known of what ran.
 		calls.FalseNotRun, calls.Phantom = nil, nil
 	}
 	return Report{
-		Sent:        t.streams + t.checks + t.notSent + len(t.calls),
-		Whole:       t.whole + t.checked + calls.Answered,
-		NotRun:      t.refused + calls.NotRun + t.notSent,
-		Unknown:     t.cut + (t.checks - t.checked) + calls.Unknown,
+		Sent:        t.streams + t.checks + t.callCount(),
+		Whole:       t.whole + t.checked + t.callKinds[outcome.Answered],
+		NotRun:      t.refused + t.callKinds[outcome.NotRun],
+		Unknown:     t.cut + (t.checks - t.checked) + t.callKinds[outcome.Unknown],
 		Restarted:   t.restarted,
 		TokensWrong: t.wrong, Calls: calls, Checked: len(o.Executions) > 0 && err == nil,
 		FirstToken: latency(t.first), Between: latency(t.between), Answer: latency(t.answer),
--- a/operator/server.go
+++ b/operator/server.go
@@ -54,15 +54,15 @@
 	return app
 }
 
-// Listen opens the operators' address. Beyond loopback it is served over TLS
-// to operators and hosts only.
-func Listen(address string, cfg *tls.Config) (net.Listener, error) {
+// Listen opens the operators' address. Beyond loopback, or if always is set,
+// it is served over TLS to operators and hosts only.
+func Listen(address string, cfg *tls.Config, always bool) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	at, err := netip.ParseAddrPort(ln.Addr().String())
-	if err == nil && at.Addr().IsLoopback() {
+	if err == nil && at.Addr().IsLoopback() && !always {
 		return ln, nil
 	}
 	return tls.NewListener(ln, keys.For(cfg, keys.RoleOperator, keys.RoleHost)), nil
--- a/publication/keeper.go
+++ b/publication/keeper.go
@@ -181,6 +181,6 @@
 			return
 		}
 		f.Restore(c)
-	case platform.RecordClaim, platform.RecordLease:
+	case platform.RecordOutcomes, platform.RecordLease:
 	}
 }
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -98,7 +98,7 @@
 		if json.Unmarshal(r.Body, &c) == nil {
 			fold.Restore(c)
 		}
-	case platform.RecordClaim, platform.RecordLease:
+	case platform.RecordOutcomes, platform.RecordLease:
 	}
 	return steps
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,9 @@
 	CallerAddress   string `json:"caller_address"`
 	OperatorAddress string `json:"operator_address"`
 	PeerAddress     string `json:"peer_address"`
+	// OperatorTLS makes operators show a certificate on loopback, too;
+	// beyond loopback they always do.
+	OperatorTLS bool `json:"operator_tls"`
 	// PlatformURL is the base URL of the platform.
 	PlatformURL string `json:"platform_url"`
 	TLS         TLS    `json:"tls"`
