--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,8 @@
 
 	// node is set by Run before anything uses it.
 	node *peer.Node
+	// joined is set once, when callers are served.
+	joined atomic.Bool
 	// draining is set once, when a graceful stop begins.
 	draining atomic.Bool
 	// listFailure is why the platform's list could not be read, or "".
@@ -92,11 +94,17 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
-	servers, err := d.serve()
-	if err != nil {
+	servers := &servers{failed: make(chan error, 2)}
+	if err := d.serveOperators(servers); err != nil {
 		return err
 	}
 	loops := d.loops(work)
+	d.join(stop)
+	if err := d.serveCallers(servers); err != nil {
+		return err
+	}
+	d.joined.Store(true)
+	d.announce(work)
 	d.log.Info("daemon: serving", "callers", d.cfg.CallerAddress, "operators", d.cfg.OperatorAddress,
 		"peers", d.cfg.PeerAddress, "incarnation", d.self.Incarnation)
 	select {
@@ -135,23 +143,29 @@
 	failed chan error
 }
 
-func (d *Daemon) serve() (*servers, error) {
-	s := &servers{callers: d.callers.App(), operators: operator.NewApp(d), failed: make(chan error, 2)}
+var silent = fiber.ListenConfig{DisableStartupMessage: true}
+
+func (d *Daemon) serveCallers(s *servers) error {
+	s.callers = d.callers.App()
 	// Callers on kept-alive connections are told to leave once the stop has
 	// begun.
 	s.callers.Server().CloseOnShutdown = true
-	callers, err := net.Listen("tcp", d.cfg.CallerAddress)
+	ln, err := net.Listen("tcp", d.cfg.CallerAddress)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for callers")
+		return eris.Wrap(err, "listen for callers")
 	}
-	operators, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
+	go func() { s.failed <- s.callers.Listener(ln, silent) }()
+	return nil
+}
+
+func (d *Daemon) serveOperators(s *servers) error {
+	s.operators = operator.NewApp(d)
+	ln, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for operators")
+		return eris.Wrap(err, "listen for operators")
 	}
-	silent := fiber.ListenConfig{DisableStartupMessage: true}
-	go func() { s.failed <- s.callers.Listener(callers, silent) }()
-	go func() { s.failed <- s.operators.Listener(operators, silent) }()
-	return s, nil
+	go func() { s.failed <- s.operators.Listener(ln, silent) }()
+	return nil
 }
 
 // loops starts all that runs in the background; each reports its end on a
--- a/daemon/home.go
+++ b/daemon/home.go
@@ -65,6 +65,8 @@
 		return d.handleForward(ctx, *m.Forward)
 	case m.Kind == peer.KindExchange && m.Exchange != nil:
 		return peer.Reply{Exchange: d.answerExchange(*m.Exchange)}
+	case m.Kind == peer.KindJoin:
+		return peer.Reply{Known: d.known()}
 	}
 	return peer.Reply{Error: &outcome.Error{
 		Op: "handle", Kind: outcome.Invalid, Cause: outcome.CauseField, Field: "kind", Message: "unknown message",
--- /dev/null
+++ b/daemon/join.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"bulrushshed/directory"
+	"bulrushshed/peer"
+	"bulrushshed/platform"
+)
+
+// joinEvery is the time between two looks for what a fresh host needs.
+const joinEvery = 100 * time.Millisecond
+
+// ready reports whether this host knows the rules that are in force, or that
+// there are none.
+func (d *Daemon) ready() bool {
+	s := d.keeper.State()
+	return s.Version > 0 || s.Complete && !s.LastRead.IsZero()
+}
+
+// join waits until this host is ready. Callers could only be refused before,
+// so it opens no address to them. What the platform does not tell, a seed peer
+// does.
+func (d *Daemon) join(ctx context.Context) {
+	for n := 0; ctx.Err() == nil && !d.ready(); n++ {
+		if seeds := d.cfg.SeedPeers; len(seeds) > 0 {
+			d.askSeed(ctx, seeds[n%len(seeds)])
+		}
+		pause(ctx, joinEvery)
+	}
+}
+
+func (d *Daemon) askSeed(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Times.Peer.D())
+	defer cancel()
+	r, err := d.node.Call(ctx, address, peer.Message{Kind: peer.KindJoin})
+	if err != nil || r.Known == nil {
+		return
+	}
+	now := time.Now()
+	if len(d.directory.View().Hosts) == 0 {
+		d.directory.List(r.Known.Hosts, now)
+	}
+	for _, n := range r.Known.Leaves {
+		d.directory.Leave(n, now)
+	}
+	if r.Known.Rules.Version > 0 {
+		d.keeper.Restore(r.Known.Rules)
+	}
+}
+
+// known is what this host can tell a fresh one.
+func (d *Daemon) known() *peer.Known {
+	k := &peer.Known{}
+	k.Rules, _ = d.keeper.Checkpoint()
+	for _, h := range d.directory.View().Hosts {
+		if h.Leaving {
+			k.Leaves = append(k.Leaves, directory.Leaving{Host: h.Name, Incarnation: h.Incarnation})
+		}
+		k.Hosts = append(k.Hosts, h.Host)
+	}
+	// The list may not show the own host yet.
+	if k.Hosts == nil {
+		k.Hosts = []platform.Host{d.host()}
+	}
+	return k
+}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -23,6 +23,9 @@
 
 // announce keeps this host on the platform's list.
 func (d *Daemon) announce(context.Context) {
+	if !d.joined.Load() {
+		return
+	}
 	if err := d.platform.Announce(d.host()); err != nil {
 		d.log.Debug("daemon: not announced", "cause", err.Error())
 	}
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -158,10 +158,16 @@
 // only the home's journal can tell what became of the call.
 func (d *Deliverer) elsewhere(ctx context.Context, key claim.Key, r Request) (outcome.Answer, error) {
 	answer, err := d.Homes.Forward(ctx, key.Home, r)
-	if err == nil || asOutcome(err).Kind != outcome.Unknown {
+	if err == nil {
+		return answer, nil
+	}
+	switch asOutcome(err).Cause {
+	case outcome.CauseHomeGone, outcome.CauseHomeSilent:
+		return d.lookBack(key, err)
+	default:
+		// This is the home's own word.
 		return answer, err
 	}
-	return d.lookBack(key, err)
 }
 
 // lookBack returns what the log knows of a key, or else the error.
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,8 +2,11 @@
 
 import (
 	"bulrushshed/delivery"
+	"bulrushshed/directory"
 	"bulrushshed/gossip"
 	"bulrushshed/outcome"
+	"bulrushshed/platform"
+	"bulrushshed/rule"
 )
 
 // Kind says what a Message asks for.
@@ -13,6 +16,7 @@
 const (
 	KindForward  Kind = "forward"
 	KindExchange Kind = "exchange"
+	KindJoin     Kind = "join"
 )
 
 // Message is one request; only the field of its kind is set.
@@ -30,9 +34,19 @@
 	LeftMS int64 `cbor:"left_ms"`
 }
 
+// Known is what a fresh host learns of another.
+type Known struct {
+	Rules rule.Checkpoint `cbor:"rules"`
+	// Hosts is the platform's list as the other host last read it, and
+	// Leaves what it knows of leaving hosts.
+	Hosts  []platform.Host     `cbor:"hosts"`
+	Leaves []directory.Leaving `cbor:"leaves"`
+}
+
 // Reply answers a message; only the field of the message's kind is set.
 type Reply struct {
 	Answer   *outcome.Answer  `cbor:"answer,omitempty"`
 	Error    *outcome.Error   `cbor:"error,omitempty"`
+	Known    *Known           `cbor:"known,omitempty"`
 	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -109,6 +109,9 @@
 	c.address("caller_address", s.CallerAddress)
 	c.address("operator_address", s.OperatorAddress)
 	c.address("peer_address", s.PeerAddress)
+	for n, a := range s.SeedPeers {
+		c.address(fmt.Sprintf("seed_peers[%d]", n), a)
+	}
 	c.url("platform_url", s.PlatformURL)
 	c.text("tls.ca_file", s.TLS.CAFile)
 	c.text("tls.cert_file", s.TLS.CertFile)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,9 @@
 	// OperatorTLS makes operators show a certificate on loopback, too;
 	// beyond loopback they always do.
 	OperatorTLS bool `json:"operator_tls"`
+	// SeedPeers are the peer addresses of some other entry hosts, of which a
+	// fresh host learns the rules and the hosts while the platform is down.
+	SeedPeers []string `json:"seed_peers"`
 	// PlatformURL is the base URL of the platform.
 	PlatformURL string `json:"platform_url"`
 	TLS         TLS    `json:"tls"`
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -85,6 +85,7 @@
 	app.Post("/v1/forward", e.serveForward)
 	app.Post("/v1/cancel", e.serveCancel)
 	app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(e.status(time.Now())) })
+	app.Get("/v1/streams", func(c fiber.Ctx) error { return c.JSON(e.work()) })
 	app.Get("/v1/cache", e.serveCache)
 	app.Post("/v1/kv/export", e.serveExport)
 	app.Post("/v1/kv/import", e.serveImport)
@@ -104,6 +105,20 @@
 	e.draining = true
 }
 
+// Work is what runs on an engine now, for the checks.
+type Work struct {
+	// Streams are those that begin here; Sequences are the requests whose KV
+	// cache is held.
+	Streams   int `json:"streams"`
+	Sequences int `json:"sequences"`
+}
+
+func (e *Engine) work() Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Work{Streams: e.streams, Sequences: len(e.sequences)}
+}
+
 // sequenceIdle is the time after which an unused sequence counts as ended.
 const sequenceIdle = 2 * time.Second
 
