Find dead and returned engines soon, and cut nothing in a rolling restart

Cause: a frozen engine was tried again as soon as its suspicion lapsed, and a stream then waited for the whole head timeout. A stage that came back was asked for its status once a second, and stayed suspected under its new incarnation. Calls were refused at once in a moment without replicas. Ruled out: the stage timeout of the engines (error events name their hop). Change: after 250 ms of silence the engines of a route are asked whether they are there; a suspected engine is used again only once it has sent a status; a new incarnation is not suspected; engines that can't be used are asked five times as often; a call waits for a replica for up to half its deadline; a path that a service could read otherwise is refused, since it could pass a dispatch as a stock check.

--- a/caller/server.go
+++ b/caller/server.go
@@ -6,7 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"log/slog"
-	"slices"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -159,12 +159,13 @@
 	defer s.gate.Arrive()()
 	in := newCall(c)
 	f := s.rules.Current().File
-	if !plain(c.Path()) {
-		return s.refuse(c, in, invalid("path", "got "+c.Path()+", want a path without dot segments, empty segments or escapes"))
+	path, ok := plainPath(c)
+	if !ok {
+		return s.refuse(c, in, invalid("path", "want a path without dot segments, empty segments or escaped slashes"))
 	}
-	class, ok := f.Class(c.Path())
+	class, ok := f.Class(path)
 	if !ok {
-		return s.refuse(c, in, invalidCause(outcome.CauseNoRule, "path", "no rule names the path "+c.Path()))
+		return s.refuse(c, in, invalidCause(outcome.CauseNoRule, "path", "no rule names the path "+path))
 	}
 	in.class = class.Name
 	if in.customer == "" {
@@ -190,24 +191,25 @@
 	return c.Status(answer.Status).Send(answer.Body)
 }
 
-// plain reports whether a path means the same to every reader. One that a
-// service would rewrite could pass as another class than the one it runs as.
-func plain(path string) bool {
-	if strings.ContainsAny(path, "%\\") || strings.Contains(path, "//") {
-		return false
-	}
-	return !slices.ContainsFunc(strings.Split(path, "/"), func(part string) bool {
-		return part == "." || part == ".."
-	})
+// plainPath returns the path without escapes, if it means the same to every
+// reader. One that a service would rewrite could pass as another class than
+// the one it runs as.
+func plainPath(c fiber.Ctx) (path string, ok bool) {
+	uri := c.RequestCtx().URI()
+	original := string(uri.PathOriginal())
+	path, err := url.PathUnescape(original)
+	same := path == string(uri.Path()) && strings.Count(original, "/") == strings.Count(path, "/")
+	return path, err == nil && same && !strings.Contains(path, "\\")
 }
 
-// target is the path that was classified, with its query.
+// target is the path as its caller wrote it, with its query.
 func target(c fiber.Ctx) string {
-	query := string(c.RequestCtx().URI().QueryString())
-	if query == "" {
-		return c.Path()
+	uri := c.RequestCtx().URI()
+	path := string(uri.PathOriginal())
+	if query := string(uri.QueryString()); query != "" {
+		return path + "?" + query
 	}
-	return c.Path() + "?" + query
+	return path
 }
 
 func invalid(field, message string) error { return invalidCause(outcome.CauseField, field, message) }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -122,6 +122,7 @@
 	f.StringVar(&s.opts.FailureDomain, "domain", "a", "failure domain")
 	f.StringVar(&s.serves, "serves", "dispatch,stock", "services, by comma")
 	f.DurationVar(&s.opts.WorkTime, "work-time", 5*time.Millisecond, "time of one call")
+	f.StringVar(&s.opts.History, "history", "", "file that keeps what was run over restarts")
 	f.BoolVar(&s.opts.HonorsKeys, "honors-keys", false, "run a repeated key once")
 	f.StringVar(&s.platform, "platform", "http://127.0.0.1:9000", "base URL of the platform")
 }
@@ -129,5 +130,9 @@
 func (s *serviceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	s.opts.Serves = strings.Split(s.serves, ",")
 	s.opts.Incarnation = time.Now().UnixMicro()
-	return report(standin.ServeNode(ctx, standin.NewService(s.opts), s.opts.Address, s.platform))
+	node, err := standin.NewService(s.opts)
+	if err != nil {
+		return report(err)
+	}
+	return report(standin.ServeNode(ctx, node, s.opts.Address, s.platform))
 }
--- a/completion/runner.go
+++ b/completion/runner.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/engine"
 	"bulrushshed/outcome"
 	"bulrushshed/route"
@@ -24,7 +26,9 @@
 
 // Engines opens streams and asks engines whether they are there.
 type Engines interface {
-	Generate(ctx context.Context, g engine.Generate, headTimeout time.Duration) (engine.Stream, error)
+	// Generate returns at once; headTimeout bounds the wait for the first
+	// byte of the answer.
+	Generate(ctx context.Context, g engine.Generate, headTimeout time.Duration) engine.Stream
 	Probe(ctx context.Context, address string) error
 }
 
@@ -53,13 +57,14 @@
 
 // Options bound a runner.
 type Options struct {
-	// HeadTimeout bounds the wait for an engine to accept a stream.
-	HeadTimeout time.Duration
 	// FirstGap and TokenGap bound the wait for the first token of an
 	// attempt and for each one behind it.
 	FirstGap time.Duration
 	TokenGap time.Duration
-	// ProbeTimeout bounds the question whether an engine is there.
+	// ProbeAfter is the silence after which the engines of a route are
+	// asked whether they are there, and ProbeTimeout how long they may take
+	// to say so.
+	ProbeAfter   time.Duration
 	ProbeTimeout time.Duration
 	// Attempts is the number of attempts for one request.
 	Attempts int
@@ -163,8 +168,8 @@
 // failure is why an attempt did not complete the answer.
 type failure struct {
 	cause error
-	// endpoint is the hop that failed, or "" if that is not known.
-	endpoint string
+	// failed are the endpoints that failed; nil if that is not known.
+	failed map[string]bool
 	// started is whether an engine can have seen the request.
 	started bool
 	// final is set if no other attempt may follow.
@@ -176,34 +181,41 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := x.progress.Begin()
-	s, err := x.engines.Generate(ctx, engine.Generate{
+	s := x.engines.Generate(ctx, engine.Generate{
 		RequestID: x.req.ID, Attempt: n, Prompt: x.req.Prompt, Delivered: x.progress.Delivered(),
 		MaxTokens: x.req.MaxTokens, Priority: int(rule.PriorityNormal), Route: rt,
-	}, x.opts.HeadTimeout)
-	if err != nil {
-		return &failure{cause: err, endpoint: rt.Hops[0].Endpoint, started: !errors.Is(err, engine.ErrNotRun)}
-	}
-	f := x.follow(ctx, s)
+	}, x.opts.FirstGap)
+	f := x.follow(ctx, rt, s)
 	over := f == nil || f.final != nil
 	x.canceller.Cancel(rt.Hops, engine.Cancel{RequestID: x.req.ID, Attempt: n, Free: over})
 	return f
 }
 
 // follow passes tokens on until the end, a failure, or a gap that is too long.
-func (x *run) follow(ctx context.Context, s engine.Stream) *failure {
+// A silence that may be a slow engine's or a dead one's is told apart by
+// asking, long before the gap is over.
+func (x *run) follow(ctx context.Context, rt route.Route, s engine.Stream) *failure {
 	gap := time.NewTimer(x.opts.FirstGap)
 	defer gap.Stop()
+	silence := time.NewTimer(x.opts.ProbeAfter)
+	defer silence.Stop()
 	for {
 		select {
 		case e, ok := <-s.Events():
 			if !ok {
-				return &failure{cause: s.Err(), started: true}
+				return x.broken(rt, s.Err())
 			}
 			over, f := x.event(e)
 			if over {
 				return f
 			}
 			gap.Reset(x.opts.TokenGap)
+			silence.Reset(x.opts.ProbeAfter)
+		case <-silence.C:
+			if failed := x.probe(ctx, rt); len(failed) > 0 && len(s.Events()) == 0 {
+				return &failure{cause: errSilent, failed: failed, started: true}
+			}
+			silence.Reset(x.opts.ProbeAfter)
 		case <-gap.C:
 			return &failure{cause: errGap, started: true}
 		case <-ctx.Done():
@@ -212,7 +224,18 @@
 	}
 }
 
-var errGap = errors.New("no token within the gap")
+var (
+	errGap    = errors.New("no token within the gap")
+	errSilent = errors.New("an engine of the route does not answer")
+)
+
+// broken is a stream that ended without its end event. The first hop's engine
+// failed it, if that did not name another.
+func (x *run) broken(rt route.Route, cause error) *failure {
+	return &failure{
+		cause: cause, failed: map[string]bool{rt.Hops[0].Endpoint: true}, started: !errors.Is(cause, engine.ErrNotRun),
+	}
+}
 
 // event handles one event; over is whether the attempt ends with it.
 func (x *run) event(e engine.Event) (over bool, f *failure) {
@@ -224,7 +247,11 @@
 			return true, &failure{cause: err, started: true, final: callerLeft(err)}
 		}
 	case VerdictFail:
-		return true, &failure{cause: errors.New(e.Reason), endpoint: e.Endpoint, started: true}
+		f := &failure{cause: errors.New(e.Reason), started: true}
+		if e.Endpoint != "" {
+			f.failed = map[string]bool{e.Endpoint: true}
+		}
+		return true, f
 	case VerdictEnd:
 		return true, nil
 	}
@@ -233,18 +260,15 @@
 
 // learn notes which endpoints failed and which still hold the KV cache.
 func (x *run) learn(ctx context.Context, rt route.Route, f *failure) {
-	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoint", f.endpoint,
+	if f.failed == nil {
+		f.failed = x.probe(ctx, rt)
+	}
+	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoints", lo.Keys(f.failed),
 		"position", len(x.progress.Delivered()), "cause", f.cause.Error())
 	x.counter.Resumed(causeOf(f))
-	failed := map[string]bool{}
-	if f.endpoint != "" {
-		failed[f.endpoint] = true
-	} else {
-		failed = x.probe(ctx, rt)
-	}
 	clear(x.prefer)
 	for _, h := range rt.Hops {
-		if !failed[h.Endpoint] {
+		if !f.failed[h.Endpoint] {
 			x.prefer[h.Endpoint] = true
 			continue
 		}
@@ -257,10 +281,12 @@
 	switch {
 	case errors.Is(f.cause, errGap):
 		return "gap"
-	case f.endpoint != "":
-		return "stage"
+	case errors.Is(f.cause, errSilent):
+		return "silence"
+	case !f.started:
+		return "refused"
 	}
-	return "stream"
+	return "stage"
 }
 
 // probe asks all hops at once whether they are there, and returns those that
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,8 @@
 
 	// node is set by Run before anything uses it.
 	node *peer.Node
+	// turn counts the turns of readStatuses, which alone uses it.
+	turn int
 	// joined is set once, when callers are served.
 	joined atomic.Bool
 	// draining is set once, when a graceful stop begins.
@@ -177,7 +179,7 @@
 		d.canceller.serve(ctx),
 		every(ctx, d.cfg.Times.HostsEvery.D(), d.readHosts),
 		every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
-		every(ctx, d.cfg.Times.StatusEvery.D(), d.readStatuses),
+		every(ctx, d.cfg.Times.StatusEvery.D()/hurry, d.readStatuses),
 		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
 		d.keepJournal(ctx),
 	}
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -44,6 +44,7 @@
 	if !ok {
 		return delivery.Replica{}, nil, false
 	}
+	r.HonorsKeys = p.d.keeper.Current().File.Endpoint(r.Endpoint).HonorsKeys
 	return r, p.d.inflight.Add(r.Endpoint), true
 }
 
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -34,8 +34,15 @@
 // statusWorkers is the number of engines that are asked at a time.
 const statusWorkers = 16
 
-// readStatuses asks all engines for their status.
+// hurry is how many times as often as others an engine is asked that is
+// suspected or sends no status, so that its return is seen soon.
+const hurry = 5
+
+// readStatuses asks all engines for their status, but on most turns only those
+// that can't be used now.
 func (d *Daemon) readStatuses(ctx context.Context) {
+	all := d.turn%hurry == 0
+	d.turn++
 	hosts := make(chan directory.Standing)
 	var workers sync.WaitGroup
 	for range statusWorkers {
@@ -46,7 +53,8 @@
 		})
 	}
 	for _, h := range d.directory.View().Hosts {
-		if h.Role == platform.RoleEngine && ctx.Err() == nil {
+		lost := h.Suspected || !h.Reporting
+		if h.Role == platform.RoleEngine && (all || lost) && ctx.Err() == nil {
 			hosts <- h
 		}
 	}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -126,14 +126,16 @@
 	d := do.MustInvoke[*Daemon](i)
 	t := d.cfg.Times
 	return completion.NewRunner(completion.Options{
-		HeadTimeout: t.Head.D(), FirstGap: t.FirstGap.D(), TokenGap: t.TokenGap.D(), ProbeTimeout: t.Probe.D(),
+		FirstGap: t.FirstGap.D(), TokenGap: t.TokenGap.D(), ProbeAfter: t.ProbeAfter.D(), ProbeTimeout: t.Probe.D(),
 		Attempts: d.cfg.Limits.Attempts, Pause: routePause, RouteWait: t.RouteWait.D(),
 	}, d.engines, planner{d}, d.canceller, d.meter, d.log), nil
 }
 
 func newDeliverer(i do.Injector) (*delivery.Deliverer, error) {
 	d := do.MustInvoke[*Daemon](i)
-	x := delivery.New(delivery.Options{Self: d.self, Attempts: d.cfg.Limits.Attempts}, delivery.Parts{
+	x := delivery.New(delivery.Options{
+		Self: d.self, Attempts: d.cfg.Limits.Attempts, PickWait: d.cfg.Times.RouteWait.D(),
+	}, delivery.Parts{
 		Services: servicehttp.NewClient(), Replicas: planner{d}, Homes: homes{d}, Table: d.claims,
 		Journal: d.journal, Past: past{d}, Gate: gate{d}, Counter: d.meter, Log: d.log,
 	})
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -47,6 +47,9 @@
 	Endpoint    string
 	Address     string
 	Incarnation int64
+	// HonorsKeys is set if the endpoint runs the call of a key only once,
+	// however often it is sent there.
+	HonorsKeys bool
 }
 
 // Replicas picks endpoints.
@@ -94,6 +97,8 @@
 	Self claim.Home
 	// Attempts is the number of replicas that one call may be tried at.
 	Attempts int
+	// PickWait bounds the wait for a replica when none takes new work.
+	PickWait time.Duration
 }
 
 // Deliverer answers calls; it is safe for concurrent use.
@@ -260,12 +265,15 @@
 	var failed *outcome.Answer
 	tried := map[string]bool{}
 	for n := range d.opts.Attempts {
-		replica, release, ok := d.Replicas.Pick(r.Class.Service, tried)
+		replica, release, ok := d.pick(ctx, r, tried)
 		if !ok {
 			break
 		}
 		tried[replica.Endpoint] = true
 		answer, err := d.sendTo(ctx, r, n+1, replica, send)
+		if err != nil && replica.HonorsKeys && !r.Class.Idempotent {
+			answer, err = d.insist(ctx, r, replica, err)
+		}
 		release()
 		if err == nil && answer.Status < firstServerError {
 			return answer, nil
@@ -292,6 +300,41 @@
 	}
 }
 
+// pickPause is the time between two looks for a replica.
+const pickPause = 20 * time.Millisecond
+
+// pick waits for a replica that takes new work, but not if some were tried:
+// then their failures are an answer of a kind. It leaves half of what is left
+// until the deadline for the call itself.
+func (d *Deliverer) pick(ctx context.Context, r Request, tried map[string]bool) (Replica, func(), bool) {
+	now := time.Now()
+	end := now.Add(min(d.opts.PickWait, r.Deadline.Sub(now)/2))
+	for {
+		replica, release, ok := d.Replicas.Pick(r.Class.Service, tried)
+		if ok || len(tried) > 0 || ctx.Err() != nil || !time.Now().Before(end) {
+			return replica, release, ok
+		}
+		time.Sleep(pickPause)
+	}
+}
+
+// insistPause is the wait before a key is sent to its endpoint again.
+const insistPause = 50 * time.Millisecond
+
+// insist sends a key again to the endpoint that honors it, until it answers or
+// the attempts are used up. A refusal of a repeat says nothing of the first.
+func (d *Deliverer) insist(ctx context.Context, r Request, to Replica, first error) (outcome.Answer, error) {
+	for n := 1; n < d.opts.Attempts && !notRun(first) && ctx.Err() == nil; n++ {
+		time.Sleep(insistPause)
+		answer, err := d.sendTo(ctx, r, n+1, to, d.Services.Send)
+		if err == nil {
+			return answer, nil
+		}
+		d.Counter.Retried(r.Class.Name)
+	}
+	return outcome.Answer{}, first
+}
+
 func (d *Deliverer) sendTo(ctx context.Context, r Request, attempt int, to Replica, send send) (outcome.Answer, error) {
 	// A host may have been paused up to here, so the deadline is checked
 	// right before the first byte.
--- /dev/null
+++ b/delivery/deliverer_test.go
@@ -0,0 +1,157 @@
+package delivery_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bulrushshed/claim"
+	"bulrushshed/delivery"
+	"bulrushshed/outcome"
+	"bulrushshed/rule"
+	"bulrushshed/service"
+)
+
+// script is a service of two replicas whose answers are written down, and all
+// other parts of a deliverer.
+type script struct {
+	answers []string
+	sent    []string
+	honors  bool
+}
+
+func (s *script) Pick(_ string, tried map[string]bool) (delivery.Replica, func(), bool) {
+	for _, name := range []string{"s1", "s2"} {
+		if !tried[name] {
+			return delivery.Replica{Endpoint: name, Address: name, HonorsKeys: s.honors}, func() {}, true
+		}
+	}
+	return delivery.Replica{}, nil, false
+}
+
+func (s *script) Suspect(string, int64) {}
+func (s *script) Retried(string)        {}
+func (s *script) Leave()                {}
+func (s *script) Add(string, claim.Result) {
+}
+func (s *script) Enter(string, time.Time) error { return nil }
+
+func (s *script) Look(claim.Key) (claim.Result, bool) { return claim.Result{}, false }
+
+func (s *script) Forward(context.Context, claim.Home, delivery.Request) (outcome.Answer, error) {
+	return outcome.Answer{}, &outcome.Error{Kind: outcome.Unknown, Cause: outcome.CauseHomeGone}
+}
+
+func (s *script) Send(_ context.Context, address string, _ service.Call) (outcome.Answer, error) {
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	s.sent = append(s.sent, address)
+	switch next {
+	case "not run":
+		return outcome.Answer{}, &outcome.Error{Kind: outcome.NotRun, Cause: outcome.CauseNotSent}
+	case "unknown":
+		return outcome.Answer{}, &outcome.Error{Kind: outcome.Unknown, Cause: outcome.CauseNoAnswer}
+	case "500":
+		return outcome.Answer{Status: 500}, nil
+	}
+	return outcome.Answer{Status: 200}, nil
+}
+
+func (s *script) SendIdempotent(ctx context.Context, address string, c service.Call) (outcome.Answer, error) {
+	return s.Send(ctx, address, c)
+}
+
+// What the service does, in order; where the call was sent; and what its
+// caller is told.
+func TestWhereACallIsSentAgain(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		honors     bool
+		answers    []string
+		sent       string
+		told       string
+	}{
+		{"answered", false, false, []string{"ok"}, "[s1]", "200"},
+		{"surely not run", false, false, []string{"not run", "ok"}, "[s1 s2]", "200"},
+		{"never run", false, false, []string{"not run", "not run"}, "[s1 s2]", "not_run"},
+		{"unknown", false, false, []string{"unknown"}, "[s1]", "outcome_unknown"},
+		{"not run, then unknown", false, false, []string{"not run", "unknown"}, "[s1 s2]", "outcome_unknown"},
+		{"failed inside", false, false, []string{"500"}, "[s1]", "500"},
+		{"unknown, key honored", false, true, []string{"unknown", "ok"}, "[s1 s1]", "200"},
+		{"unknown, then refused, key honored", false, true, []string{"unknown", "not run", "unknown"}, "[s1 s1 s1]", "outcome_unknown"},
+		{"not run, key honored", false, true, []string{"not run", "ok"}, "[s1 s2]", "200"},
+		{"idempotent, unknown", true, false, []string{"unknown", "ok"}, "[s1 s2]", "200"},
+		{"idempotent, failed inside", true, false, []string{"500", "ok"}, "[s1 s2]", "200"},
+		{"idempotent, failed inside twice", true, false, []string{"500", "500"}, "[s1 s2]", "500"},
+		{"idempotent, unknown, then not run", true, false, []string{"unknown", "not run"}, "[s1 s2]", "outcome_unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &script{answers: c.answers, honors: c.honors}
+				home := claim.Home{Host: "entry-1", Incarnation: 1}
+				d := delivery.New(delivery.Options{Self: home, Attempts: 3}, delivery.Parts{
+					Services: s, Replicas: s, Homes: s, Journal: s, Past: s, Gate: s, Counter: s,
+					Table: claim.NewTable(claim.Options{Life: keyLife, Capacity: 10, MaxAnswer: 64}),
+					Log:   slog.New(slog.DiscardHandler),
+				})
+				answer, err := d.Deliver(t.Context(), delivery.Request{
+					Class: rule.Class{Service: "dispatch", Idempotent: c.idempotent},
+					Key:   claim.Issue(home, time.Now()).String(), Deadline: time.Now().Add(time.Second),
+				})
+				is.Equal(fmt.Sprint(s.sent), c.sent)
+				is.Equal(told(answer, err), c.told)
+			})
+		})
+	}
+}
+
+func told(answer outcome.Answer, err error) string {
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		return string(o.Kind)
+	}
+	return fmt.Sprint(answer.Status)
+}
+
+func TestKeysThatCanNotBeUsed(t *testing.T) {
+	t.Parallel()
+	home := claim.Home{Host: "entry-1", Incarnation: 2}
+	now := time.Now()
+	old := claim.Issue(home, now.Add(-keyLife)).String()
+	before := claim.Issue(claim.Home{Host: "entry-1", Incarnation: 1}, now).String()
+	other := claim.Issue(claim.Home{Host: "entry-2", Incarnation: 1}, now).String()
+	for _, c := range []struct {
+		name, key, want string
+	}{
+		{"none", "", "deliver: invalid (key_missing): a non-idempotent call needs a key; GET /v1/entries issues them"},
+		{"made up", "my-key-1", "deliver: invalid (key_missing): got a key that no host issued, want one from GET /v1/entries"},
+		{"too old", old, "deliver: outcome_unknown (key_expired): the key is too old to tell whether its call ran"},
+		{"of an earlier run", before, "deliver: outcome_unknown (home_gone): the key's home has restarted since it issued the key"},
+		{"of a host that is gone", other, ": outcome_unknown (home_gone): "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := &script{}
+			d := delivery.New(delivery.Options{Self: home, Attempts: 3}, delivery.Parts{
+				Services: s, Replicas: s, Homes: s, Journal: s, Past: s, Gate: s, Counter: s,
+				Table: claim.NewTable(claim.Options{Life: keyLife, Capacity: 10, MaxAnswer: 64}),
+				Log:   slog.New(slog.DiscardHandler),
+			})
+			_, err := d.Deliver(t.Context(), delivery.Request{Key: c.key, Deadline: now.Add(time.Minute)})
+			is.True(err != nil)
+			is.Equal(err.Error(), c.want)
+			is.Equal(len(s.sent), 0)
+		})
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,8 +36,29 @@
 	statusAt time.Time
 	// newsAt is when news of a leave came.
 	newsAt time.Time
-	// suspectUntil is when a suspected endpoint is tried again.
+	// suspectAt is when the endpoint last failed a request, and suspectUntil
+	// the earliest time to try it again.
+	suspectAt    time.Time
 	suspectUntil time.Time
+	// failures is the number of failures since the endpoint was well.
+	failures int
+}
+
+// renew forgets what an earlier incarnation did.
+func (k *known) renew() {
+	k.suspectAt = time.Time{}
+	k.suspectUntil = time.Time{}
+	k.failures = 0
+}
+
+// suspected reports whether an endpoint is to be avoided. An engine must also
+// have sent a status since it failed, so that one that hangs is not tried.
+func (k *known) suspected(now time.Time) bool {
+	if k.suspectAt.IsZero() {
+		return false
+	}
+	silent := k.host.Role == platform.RoleEngine && !k.statusAt.After(k.suspectAt)
+	return now.Before(k.suspectUntil) || silent
 }
 
 // Directory gathers news. Its lock is taken before no other.
@@ -90,7 +111,7 @@
 		return
 	}
 	if h.Incarnation > k.host.Incarnation {
-		k.suspectUntil = time.Time{}
+		k.renew()
 	}
 	k.host = h
 	if h.State == platform.StateLeaving {
@@ -126,6 +147,9 @@
 	if !ok || s.Holding.Incarnation < k.host.Incarnation {
 		return Leaving{}, false
 	}
+	if s.Holding.Incarnation > k.host.Incarnation {
+		k.renew()
+	}
 	k.host.Incarnation = s.Holding.Incarnation
 	k.status = s
 	k.statusAt = now
@@ -144,7 +168,16 @@
 	d.publish(now)
 }
 
-// Suspect avoids an endpoint for a while after it failed a request.
+const (
+	// maxFailures bounds the doubling of the time for which an endpoint that
+	// fails again and again is avoided.
+	maxFailures = 5
+	// forgiven is the time without a failure after which all are forgotten.
+	forgiven = 30 * time.Second
+)
+
+// Suspect avoids an endpoint for a while after it failed a request, longer
+// each time.
 func (d *Directory) Suspect(host string, incarnation int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -152,7 +185,15 @@
 	if !ok || k.host.Incarnation > incarnation {
 		return
 	}
-	k.suspectUntil = now.Add(d.opts.SuspectLife)
+	if now.Sub(k.suspectAt) > forgiven {
+		k.failures = 0
+	}
+	if !now.Before(k.suspectUntil) {
+		// Requests that were under way together count as one failure.
+		k.failures = min(k.failures+1, maxFailures)
+	}
+	k.suspectAt = now
+	k.suspectUntil = now.Add(d.opts.SuspectLife << (k.failures - 1))
 	d.publish(now)
 }
 
--- a/directory/view.go
+++ b/directory/view.go
@@ -48,7 +48,7 @@
 	s := Standing{
 		Host:      k.host,
 		Leaving:   k.leaving >= k.host.Incarnation,
-		Suspected: now.Before(k.suspectUntil),
+		Suspected: k.suspected(now),
 		Reporting: !k.statusAt.IsZero() && now.Sub(k.statusAt) <= o.StatusLife,
 		Holding:   k.status.Holding,
 	}
--- a/enginehttp/client.go
+++ b/enginehttp/client.go
@@ -84,37 +84,43 @@
 // Err returns why the stream ended; call it only once Events is closed.
 func (s *stream) Err() error { return s.err }
 
-// Generate starts a stream at the first hop. Ending ctx ends the stream. The
-// error is an *Error; headTimeout bounds the wait for the engine to accept.
-func (c *Client) Generate(ctx context.Context, g engine.Generate, headTimeout time.Duration) (engine.Stream, error) {
+// Generate starts a stream at the first hop, and returns at once; what goes
+// wrong is the stream's error, an *Error. Ending ctx ends the stream, and
+// headTimeout bounds the wait for the first byte of the answer.
+func (c *Client) Generate(ctx context.Context, g engine.Generate, headTimeout time.Duration) engine.Stream {
+	s := &stream{events: make(chan engine.Event, eventBuffer)}
+	go func() {
+		defer close(s.events)
+		s.err = c.generate(ctx, g, headTimeout, s.events)
+	}()
+	return s
+}
+
+func (c *Client) generate(
+	ctx context.Context, g engine.Generate, headTimeout time.Duration, events chan<- engine.Event,
+) error {
 	first := g.Route.Hops[0]
 	body, err := json.Marshal(g)
 	if err != nil {
-		return nil, &Error{Op: "generate", Kind: KindNotRun, Endpoint: first.Endpoint, Cause: err}
+		return &Error{Op: "generate", Kind: KindNotRun, Endpoint: first.Endpoint, Cause: err}
 	}
 	in, err := c.http.Open(ctx, jsonhttp.Request{
 		Method: http.MethodPost, URL: "http://" + first.Address + "/v1/generate",
 		Headers: map[string]string{"Content-Type": "application/json"}, Body: body, Timeout: headTimeout,
 	})
 	if err != nil {
-		return nil, &Error{Op: "generate", Kind: kindOf(err), Endpoint: first.Endpoint, Cause: err}
+		return &Error{Op: "generate", Kind: kindOf(err), Endpoint: first.Endpoint, Cause: err}
 	}
+	defer in.Close()
 	if in.Status != http.StatusOK {
-		defer in.Close()
 		kind := KindBroken
 		if in.Header(engine.HeaderNotRun) != "" {
 			kind = KindNotRun
 		}
 		cause := fmt.Errorf("got status %d, want %d", in.Status, http.StatusOK)
-		return nil, &Error{Op: "generate", Kind: kind, Endpoint: first.Endpoint, Cause: cause}
+		return &Error{Op: "generate", Kind: kind, Endpoint: first.Endpoint, Cause: cause}
 	}
-	s := &stream{events: make(chan engine.Event, eventBuffer)}
-	go func() {
-		defer close(s.events)
-		defer in.Close()
-		s.err = copyEvents(ctx, in, s.events, first.Endpoint)
-	}()
-	return s, nil
+	return copyEvents(ctx, in, events, first.Endpoint)
 }
 
 func kindOf(err error) Kind {
--- a/settings/check.go
+++ b/settings/check.go
@@ -147,9 +147,9 @@
 	}{
 		{"entries_valid", t.EntriesValid},
 		{"key_life", t.KeyLife},
-		{"head", t.Head},
 		{"first_gap", t.FirstGap},
 		{"token_gap", t.TokenGap},
+		{"probe_after", t.ProbeAfter},
 		{"probe", t.Probe},
 		{"route_wait", t.RouteWait},
 		{"status_every", t.StatusEvery},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,11 +89,13 @@
 	EntriesValid Duration `json:"entries_valid"`
 	// KeyLife is how long an issued idempotency key may be used.
 	KeyLife Duration `json:"key_life"`
-	// Head, FirstGap, TokenGap and Probe bound waits for an engine.
-	Head     Duration `json:"head"`
-	FirstGap Duration `json:"first_gap"`
-	TokenGap Duration `json:"token_gap"`
-	Probe    Duration `json:"probe"`
+	// FirstGap and TokenGap bound waits for an engine's tokens. After a
+	// silence of ProbeAfter it is asked whether it is there, and must say so
+	// within Probe.
+	FirstGap   Duration `json:"first_gap"`
+	TokenGap   Duration `json:"token_gap"`
+	ProbeAfter Duration `json:"probe_after"`
+	Probe      Duration `json:"probe"`
 	// RouteWait bounds the wait for a route when none is at hand.
 	RouteWait Duration `json:"route_wait"`
 	// StatusEvery is the time between two reads of an engine's status, and
@@ -127,7 +129,7 @@
 		},
 		Times: Times{
 			EntriesValid: sec(5), KeyLife: sec(600),
-			Head: sec(2), FirstGap: sec(5), TokenGap: ms(700), Probe: ms(150), RouteWait: sec(5),
+			FirstGap: sec(10), TokenGap: sec(5), ProbeAfter: ms(250), Probe: ms(250), RouteWait: sec(5),
 			StatusEvery: sec(1), StatusLife: sec(5), HostsEvery: ms(500), SuspectLife: sec(1),
 			Platform: sec(4), Peer: sec(2), GossipEvery: ms(250),
 			Read: sec(30), Write: sec(4000), Drain: sec(120),
--- a/standin/service.go
+++ b/standin/service.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"bufio"
+	"encoding/json"
+	"os"
 	"sync"
 	"time"
 
@@ -20,6 +23,9 @@
 	Serves []string
 	// WorkTime is the time of one call.
 	WorkTime time.Duration
+	// History is a file of what earlier runs of the replica carried out, to
+	// which this one appends; "" for none.
+	History string
 	// HonorsKeys makes a repeat of a key return the first answer.
 	HonorsKeys bool
 }
@@ -44,11 +50,30 @@
 	running    int
 	executions []Execution
 	answered   map[string]bool
+	history    *os.File
 }
 
-// NewService returns a service that has run nothing.
-func NewService(o ServiceOptions) *Service {
-	return &Service{opts: o, answered: map[string]bool{}}
+// NewService returns a service that has run what its history says.
+func NewService(o ServiceOptions) (*Service, error) {
+	s := &Service{opts: o, answered: map[string]bool{}}
+	if o.History == "" {
+		return s, nil
+	}
+	var err error
+	s.history, err = os.OpenFile(o.History, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	lines := bufio.NewScanner(s.history)
+	for lines.Scan() {
+		var e Execution
+		// A line that a kill cut short was never answered.
+		if json.Unmarshal(lines.Bytes(), &e) == nil {
+			s.executions = append(s.executions, e)
+			s.answered[e.Key] = true
+		}
+	}
+	return s, lines.Err()
 }
 
 // App returns the service's HTTP server.
@@ -124,6 +149,10 @@
 	}
 	s.answered[e.Key] = true
 	s.executions = append(s.executions, e)
+	if s.history != nil {
+		line, _ := json.Marshal(e)
+		_, _ = s.history.Write(append(line, '\n'))
+	}
 	return true
 }
 
