--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -68,13 +68,15 @@
 
 // cluster is a whole system.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	net     int32
 	dir     string
 	ca      keys.Pair
 	procs   map[string]*exec.Cmd
 	entries int
 	engines []engineSpec
+	// engineFlags are further flags of all engines.
+	engineFlags []string
 	// services is the number of service replicas.
 	services int
 }
@@ -97,11 +99,11 @@
 }
 
 // newCluster starts a system and waits until every entry host sees all of it.
-func newCluster(t *testing.T, entries, services int, engines []engineSpec) *cluster {
+func newCluster(t testing.TB, entries, services int, engines []engineSpec, engineFlags ...string) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, net: firstNet + nets.Add(1), dir: t.TempDir(), procs: map[string]*exec.Cmd{},
-		entries: entries, engines: engines, services: services,
+		entries: entries, engines: engines, engineFlags: engineFlags, services: services,
 	}
 	t.Cleanup(c.stopAll)
 	var err error
@@ -188,8 +190,10 @@
 
 func (c *cluster) startEngine(n int) {
 	e := c.engines[n]
-	c.start(e.name, "standin", "engine", "-name", e.name, "-address", c.engine(n), "-domain", e.domain,
-		"-layers", e.layers, "-layer-time", e.layerTime.String(), "-platform", c.platform())
+	c.start(e.name, "standin", append([]string{
+		"engine", "-name", e.name, "-address", c.engine(n), "-domain", e.domain,
+		"-layers", e.layers, "-layer-time", e.layerTime.String(), "-platform", c.platform(),
+	}, c.engineFlags...)...)
 }
 
 func (c *cluster) entryName(n int) string { return fmt.Sprintf("entry-%d", n) }
