Resume over links that are cut or slow, and keep the KV cache that is left

Cause: an error event named only the endpoint behind a link, so a cut link made a healthy engine suspected; a slow link was never left; a plan for a resumed request took a cached endpoint for one of half its cost. Change: error events name both ends of a link, and asking the far end tells which of the two failed; a stream that falls far behind its plan moves if a route over other links is expected to be twice as fast; a plan counts the prefill that endpoints without the KV cache need.

--- a/completion/runner.go
+++ b/completion/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/samber/lo"
@@ -35,8 +36,10 @@
 // Planner finds a route and counts what runs on it until release is called.
 type Planner interface {
 	Plan(m rule.Model, p route.Pick) (r route.Route, release func(), err error)
-	// Suspect tells that an endpoint failed a request.
+	// Suspect tells that an endpoint failed a request, and SuspectLink that
+	// the way between two did.
 	Suspect(endpoint string, incarnation int64)
+	SuspectLink(l route.Link)
 }
 
 // Canceller tells engines, some time soon, that an attempt has ended.
@@ -95,10 +98,11 @@
 	req      Request
 	progress *Progress
 	sink     Sink
-	// avoid and prefer steer the next plan.
-	avoid  map[string]bool
-	prefer map[string]bool
-	log    *slog.Logger
+	// avoid, avoidLinks and cached steer the next plan.
+	avoid      map[string]bool
+	avoidLinks map[route.Link]bool
+	cached     map[string]route.Range
+	log        *slog.Logger
 }
 
 // Run answers a request into a sink. The error is an *outcome.Error; it is of
@@ -109,7 +113,7 @@
 	x := &run{
 		Runner: r, req: req, sink: sink,
 		progress: NewProgress(req.ID, req.MaxTokens),
-		avoid:    map[string]bool{}, prefer: map[string]bool{},
+		avoid:    map[string]bool{}, avoidLinks: map[route.Link]bool{}, cached: map[string]route.Range{},
 		log: r.log.With("request_id", req.ID, "customer", req.Customer),
 	}
 	return x.attempts(ctx)
@@ -145,7 +149,7 @@
 // plan waits up to RouteWait for a route to come up.
 func (x *run) plan(ctx context.Context) (route.Route, func(), error) {
 	for waited := time.Duration(0); ; waited += x.opts.Pause {
-		rt, release, err := x.planner.Plan(x.req.Model, route.Pick{Avoid: x.avoid, Prefer: x.prefer})
+		rt, release, err := x.planner.Plan(x.req.Model, x.pick())
 		if err == nil || waited >= x.opts.RouteWait || ctx.Err() != nil {
 			return rt, release, err
 		}
@@ -153,10 +157,23 @@
 	}
 }
 
+// promptTokenBytes is the mean length of a token of a prompt.
+const promptTokenBytes = 4
+
+// pick is what the next plan must heed.
+func (x *run) pick() route.Pick {
+	done := len(x.progress.Delivered())
+	return route.Pick{
+		Avoid: x.avoid, AvoidLinks: x.avoidLinks, Cached: x.cached,
+		Context: len(x.req.Prompt)/promptTokenBytes + done, Tokens: x.req.MaxTokens - done,
+	}
+}
+
 // pause waits for a route to come up; endpoints that failed may be tried
 // again then.
 func (x *run) pause(ctx context.Context) {
 	clear(x.avoid)
+	clear(x.avoidLinks)
 	t := time.NewTimer(x.opts.Pause)
 	defer t.Stop()
 	select {
@@ -170,6 +187,8 @@
 	cause error
 	// failed are the endpoints that failed; nil if that is not known.
 	failed map[string]bool
+	// links are the ways that failed or are too slow.
+	links []route.Link
 	// started is whether an engine can have seen the request.
 	started bool
 	// final is set if no other attempt may follow.
@@ -199,16 +218,22 @@
 	defer gap.Stop()
 	silence := time.NewTimer(x.opts.ProbeAfter)
 	defer silence.Stop()
+	var p pace
 	for {
 		select {
 		case e, ok := <-s.Events():
 			if !ok {
 				return x.broken(rt, s.Err())
 			}
+			p.note(time.Now())
 			over, f := x.event(e)
 			if over {
 				return f
 			}
+			p.skip(time.Now())
+			if f := x.tooSlow(rt, &p); f != nil {
+				return f
+			}
 			gap.Reset(x.opts.TokenGap)
 			silence.Reset(x.opts.ProbeAfter)
 		case <-silence.C:
@@ -227,8 +252,32 @@
 var (
 	errGap    = errors.New("no token within the gap")
 	errSilent = errors.New("an engine of the route does not answer")
+	errSlow   = errors.New("far slower than planned")
 )
 
+// tooSlow gives a route up whose tokens come far later than planned, if one
+// over other links is expected to be much faster than this one is.
+func (x *run) tooSlow(rt route.Route, p *pace) *failure {
+	links := rt.Links()
+	if len(links) == 0 || !p.behind(rt.TokenTime) {
+		return nil
+	}
+	pick := x.pick()
+	pick.AvoidLinks = maps.Clone(pick.AvoidLinks)
+	for _, l := range links {
+		pick.AvoidLinks[l] = true
+	}
+	other, release, err := x.planner.Plan(x.req.Model, pick)
+	if err != nil {
+		return nil
+	}
+	release()
+	if other.TokenTime*worthwhile > p.mean {
+		return nil
+	}
+	return &failure{cause: errSlow, failed: map[string]bool{}, links: links, started: true}
+}
+
 // broken is a stream that ended without its end event. The first hop's engine
 // failed it, if that did not name another.
 func (x *run) broken(rt route.Route, cause error) *failure {
@@ -248,7 +297,11 @@
 		}
 	case VerdictFail:
 		f := &failure{cause: errors.New(e.Reason), started: true}
-		if e.Endpoint != "" {
+		switch {
+		case e.From != "":
+			// Whether the endpoint or the way to it failed, asking tells.
+			f.links = []route.Link{{From: e.From, To: e.Endpoint}}
+		case e.Endpoint != "":
 			f.failed = map[string]bool{e.Endpoint: true}
 		}
 		return true, f
@@ -266,10 +319,16 @@
 	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoints", lo.Keys(f.failed),
 		"position", len(x.progress.Delivered()), "cause", f.cause.Error())
 	x.counter.Resumed(causeOf(f))
-	clear(x.prefer)
+	for _, l := range f.links {
+		if !f.failed[l.To] {
+			x.avoidLinks[l] = true
+			x.planner.SuspectLink(l)
+		}
+	}
+	clear(x.cached)
 	for _, h := range rt.Hops {
 		if !f.failed[h.Endpoint] {
-			x.prefer[h.Endpoint] = true
+			x.cached[h.Endpoint] = h.Layers
 			continue
 		}
 		x.avoid[h.Endpoint] = true
@@ -283,6 +342,10 @@
 		return "gap"
 	case errors.Is(f.cause, errSilent):
 		return "silence"
+	case errors.Is(f.cause, errSlow):
+		return "slow"
+	case len(f.links) > 0:
+		return "link"
 	case !f.started:
 		return "refused"
 	}
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -37,6 +37,9 @@
 	p.d.directory.Suspect(endpoint, incarnation, time.Now())
 }
 
+// SuspectLink avoids the way between two endpoints for a while.
+func (p planner) SuspectLink(l route.Link) { p.d.directory.SuspectLink(l, time.Now()) }
+
 // Pick returns a replica of a service, and counts the call on it.
 func (p planner) Pick(service string, tried map[string]bool) (delivery.Replica, func(), bool) {
 	replicas := p.d.directory.View().Services[service]
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -49,6 +49,9 @@
 
 	sameDomain  = 100 * time.Microsecond
 	crossDomain = 500 * time.Microsecond
+
+	// prefill is the time of a prefilled token beside that of a decoded one.
+	prefill = 0.05
 )
 
 // Wire returns an injector that makes a daemon of the settings.
@@ -94,7 +97,7 @@
 		tls:  keys.For(pair, keys.RoleHost),
 		directory: directory.New(directory.Options{
 			StatusLife: t.StatusLife.D(), SuspectLife: t.SuspectLife.D(),
-			Costs: route.Costs{SameDomain: sameDomain, CrossDomain: crossDomain},
+			Costs: route.Costs{SameDomain: sameDomain, CrossDomain: crossDomain, Prefill: prefill},
 		}),
 		claims: claim.NewTable(claim.Options{
 			Life: t.KeyLife.D(), Capacity: cfg.Limits.Keys, MaxAnswer: cfg.Limits.KeptAnswer,
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -68,13 +68,15 @@
 
 	mu    sync.Mutex
 	hosts map[string]*known
+	// links are the ways between endpoints that failed, until when.
+	links map[route.Link]time.Time
 	// listed holds the names on the platform's last list.
 	listed map[string]bool
 }
 
 // New returns a directory that knows no host.
 func New(o Options) *Directory {
-	d := &Directory{opts: o, hosts: map[string]*known{}, listed: map[string]bool{}}
+	d := &Directory{opts: o, hosts: map[string]*known{}, links: map[route.Link]time.Time{}, listed: map[string]bool{}}
 	d.view.Store(newView(o))
 	return d
 }
@@ -197,6 +199,17 @@
 	d.publish(now)
 }
 
+// linkLife is how long a way between endpoints is avoided after it failed.
+const linkLife = 5 * time.Second
+
+// SuspectLink avoids the way between two endpoints for a while.
+func (d *Directory) SuspectLink(l route.Link, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links[l] = now.Add(linkLife)
+	d.publish(now)
+}
+
 // publish makes a new view. The lock is held.
 func (d *Directory) publish(now time.Time) {
 	v := newView(d.opts)
@@ -205,6 +218,13 @@
 			v.add(k, now, d.opts)
 		}
 	}
+	for l, until := range d.links {
+		if !now.Before(until) {
+			delete(d.links, l)
+			continue
+		}
+		v.links[l] = true
+	}
 	v.sort()
 	d.view.Store(v)
 }
--- a/directory/view.go
+++ b/directory/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	Hosts []Standing
 
 	costs route.Costs
+	// links are the ways between endpoints to avoid.
+	links map[route.Link]bool
 	// maps holds a map for each model that a request asked for. It is the
 	// one part of a view that grows; what is in it never changes.
 	mu   sync.Mutex
@@ -41,7 +44,7 @@
 }
 
 func newView(o Options) *View {
-	return &View{Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, costs: o.Costs}
+	return &View{Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, links: map[route.Link]bool{}, costs: o.Costs}
 }
 
 func (v *View) add(k *known, now time.Time, o Options) {
@@ -100,5 +103,18 @@
 
 // Plan returns a route for the model with the view's link costs.
 func (v *View) Plan(m rule.Model, p route.Pick) (route.Route, error) {
-	return v.Map(m).Plan(p, v.costs)
+	known := v.Map(m)
+	if len(v.links) == 0 {
+		return known.Plan(p, v.costs)
+	}
+	own := p.AvoidLinks
+	p.AvoidLinks = maps.Clone(v.links)
+	maps.Copy(p.AvoidLinks, own)
+	r, err := known.Plan(p, v.costs)
+	if err == nil {
+		return r, nil
+	}
+	// A suspected way is better than none.
+	p.AvoidLinks = own
+	return known.Plan(p, v.costs)
 }
--- a/engine/message.go
+++ b/engine/message.go
@@ -39,8 +39,10 @@
 	// Position counts the generated tokens from 0.
 	Position int    `json:"position"`
 	Token    string `json:"token,omitempty"`
-	// Endpoint is the hop that failed, for EventError.
+	// Endpoint is the hop that failed, for EventError; From is the one that
+	// could not reach it, if that is the reason.
 	Endpoint string `json:"endpoint,omitempty"`
+	From     string `json:"from,omitempty"`
 	Reason   string `json:"reason,omitempty"`
 }
 
--- a/proof/streams_test.go
+++ b/proof/streams_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"bulrushshed/load"
+	"bulrushshed/standin"
 )
 
 // streams is a load of completions alone.
@@ -95,3 +96,20 @@
 	is.Equal(r.Restarted, 0)
 	is.Equal(r.Unknown, 0)
 }
+
+// While a link is cut or slow, both of its ends answer all questions.
+func TestLinksThatAreCutAndSlow(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 1, twoPipelines)
+	link := func(delay int) func() {
+		return func() { c.fault("http://"+c.engine(0), standin.Fault{Links: map[string]int{"fast-2": delay}}) }
+	}
+	// A link that failed is avoided for five seconds.
+	r := c.play(c.streamLoad(40, 12*time.Second), script{
+		{1 * time.Second, link(150)},
+		{3 * time.Second, link(0)},
+		{9 * time.Second, link(-1)},
+		{11 * time.Second, link(0)},
+	})
+	soundStreams(t, r)
+}
--- a/route/planner.go
+++ b/route/planner.go
@@ -12,6 +12,8 @@
 	// endpoint to the next.
 	SameDomain  time.Duration
 	CrossDomain time.Duration
+	// Prefill is the time of a prefilled token beside that of a decoded one.
+	Prefill float64
 }
 
 // Map is what is known of the endpoints that hold one model version; it is
@@ -50,13 +52,21 @@
 	// Extra is the number of own requests on an endpoint that its last
 	// report cannot have counted.
 	Extra map[string]int
-	// Prefer names endpoints that hold the request's KV cache already.
-	Prefer map[string]bool
+	// AvoidLinks names pairs of endpoints that can't reach each other.
+	AvoidLinks map[Link]bool
+	// Cached are the layers for which endpoints hold the request's KV cache;
+	// all others must prefill Context tokens first.
+	Cached  map[string]Range
+	Context int
+	// Tokens is the number of tokens to come; 0 counts as 1.
+	Tokens int
 }
 
-// preferred is the share of its cost at which an endpoint counts that holds
-// the KV cache already.
-const preferred = 0.5
+// Link is the way from one endpoint to the next.
+type Link struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+}
 
 // step is the cheapest known way to run all layers up to a bound with one
 // holding last.
@@ -69,7 +79,7 @@
 	before int
 }
 
-// Plan returns the route of the least expected time per token. It fails with
+// Plan returns the route of the least expected time to the end. It fails with
 // KindNone when the holdings at hand leave a layer uncovered.
 //
 // The search is a shortest path over (bound, last holding): layers are run in
@@ -93,6 +103,7 @@
 			"got no way through %d holdings of %s %s, want layers 0-%d", len(m.holdings), m.model, m.version, m.layers)}
 	}
 	r := m.trace(steps, last)
+	r.TokenTime = m.tokenTime(r, p, c)
 	if err := r.Check(m.layers); err != nil {
 		panic(err)
 	}
@@ -109,8 +120,8 @@
 		if m.bounds[a] < h.Layers.From {
 			continue
 		}
-		run := layerTime(h, p) * time.Duration(m.bounds[b]-m.bounds[a])
-		before, cost := m.enter(steps, a, i, c)
+		run := p.time(h, Range{From: m.bounds[a], To: m.bounds[b]}, c)
+		before, cost := m.enter(steps, a, i, p, c)
 		if before == unreachable {
 			continue
 		}
@@ -126,16 +137,16 @@
 )
 
 // enter finds the cheapest way to hand over to holding i at bound a.
-func (m *Map) enter(steps [][]step, a, i int, c Costs) (before int, cost time.Duration) {
+func (m *Map) enter(steps [][]step, a, i int, p Pick, c Costs) (before int, cost time.Duration) {
 	if a == 0 {
 		return start, 0
 	}
 	before = unreachable
 	for j, s := range steps[a] {
-		if !s.reached || j == i {
+		if !s.reached || j == i || p.AvoidLinks[Link{From: m.holdings[j].Endpoint, To: m.holdings[i].Endpoint}] {
 			continue
 		}
-		n := s.cost + c.link(m.holdings[j], m.holdings[i])
+		n := s.cost + c.link(m.holdings[j], m.holdings[i])*p.tokens()
 		if before == unreachable || n < cost {
 			before = j
 			cost = n
@@ -151,14 +162,18 @@
 	return c.CrossDomain
 }
 
-// layerTime is the expected time of a layer with the load that is known.
-func layerTime(h Holding, p Pick) time.Duration {
+func (p Pick) tokens() time.Duration { return time.Duration(max(p.Tokens, 1)) }
+
+// time is the expected time of some layers on one endpoint for all tokens to
+// come, with the load that is known, and for the prefill that they need first.
+func (p Pick) time(h Holding, layers Range, c Costs) time.Duration {
 	load := float64(h.Load + p.Extra[h.Endpoint])
-	t := float64(h.LayerTime) * (1 + load/float64(max(h.Slots, 1)))
-	if p.Prefer[h.Endpoint] {
-		t *= preferred
+	perLayer := float64(h.LayerTime) * (1 + load/float64(max(h.Slots, 1)))
+	work := float64(p.tokens()) * float64(layers.Len())
+	if !p.Cached[h.Endpoint].Covers(layers) {
+		work += c.Prefill * float64(p.Context) * float64(layers.Len())
 	}
-	return time.Duration(t)
+	return time.Duration(perLayer * work)
 }
 
 func cheapest(steps []step) int {
@@ -171,6 +186,22 @@
 	return best
 }
 
+// tokenTime is the expected time of one token on a route.
+func (m *Map) tokenTime(r Route, p Pick, c Costs) time.Duration {
+	p.Tokens, p.Context = 1, 0
+	var sum time.Duration
+	var before Holding
+	for n, hop := range r.Hops {
+		i := slices.IndexFunc(m.holdings, func(h Holding) bool { return h.Endpoint == hop.Endpoint })
+		sum += p.time(m.holdings[i], hop.Layers, c)
+		if n > 0 {
+			sum += c.link(before, m.holdings[i])
+		}
+		before = m.holdings[i]
+	}
+	return sum
+}
+
 // trace follows the settled steps back from the last holding.
 func (m *Map) trace(steps [][]step, last int) Route {
 	r := Route{Model: m.model, Version: m.version}
--- a/route/route.go
+++ b/route/route.go
@@ -47,6 +47,17 @@
 	Model   string `json:"model"`
 	Version string `json:"version"`
 	Hops    []Hop  `json:"hops"`
+	// TokenTime is the expected time of one token.
+	TokenTime time.Duration `json:"token_time"`
+}
+
+// Links returns the ways that the route's activations take.
+func (r Route) Links() []Link {
+	var links []Link
+	for i := 1; i < len(r.Hops); i++ {
+		links = append(links, Link{From: r.Hops[i-1].Endpoint, To: r.Hops[i].Endpoint})
+	}
+	return links
 }
 
 // Check returns an *Error of KindInvalid unless the hops tile [0, layers).
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -95,7 +95,7 @@
 	}
 	e.mu.Lock()
 	seq, ok := e.sequences[m.RequestID]
-	m.Layers = e.holding.Layers
+	m.Layers = seq.layers
 	e.mu.Unlock()
 	if !ok {
 		return c.SendStatus(fiber.StatusNotFound)
@@ -112,10 +112,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !m.Layers.Covers(e.holding.Layers) {
+	if !e.holding.Layers.Covers(m.Layers) {
 		return c.Status(fiber.StatusConflict).SendString("KV cache is of other layers")
 	}
-	e.sequences[m.RequestID] = sequence{tokens: m.Tokens, used: time.Now()}
+	e.sequences[m.RequestID] = sequence{layers: m.Layers, tokens: m.Tokens, used: time.Now()}
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,8 +59,10 @@
 	orders    []OrderRecord
 }
 
-// sequence is the KV cache of one request: the number of tokens it covers.
+// sequence is the KV cache of one request: the layers and the number of tokens
+// that it covers.
 type sequence struct {
+	layers route.Range
 	tokens int
 	used   time.Time
 }
@@ -220,7 +222,9 @@
 type forwarded struct {
 	State    uint64 `json:"state"`
 	Endpoint string `json:"endpoint,omitempty"`
-	Reason   string `json:"reason,omitempty"`
+	// From is the endpoint that could not reach it, if that is the reason.
+	From   string `json:"from,omitempty"`
+	Reason string `json:"reason,omitempty"`
 }
 
 func (e *Engine) serveForward(c fiber.Ctx) error {
@@ -248,11 +252,14 @@
 	if len(m.Hops) == 0 {
 		return forwarded{State: m.State}
 	}
+	if err := e.faults.cross(m.Hops[0].Endpoint); err != nil {
+		return forwarded{Endpoint: m.Hops[0].Endpoint, From: own.Endpoint, Reason: err.Error()}
+	}
 	var out forwarded
 	url := "http://" + m.Hops[0].Address + "/v1/forward"
 	r := jsonhttp.Request{Method: http.MethodPost, URL: url, Timeout: e.opts.StageTimeout}
 	if err := e.next.Call(r, m, &out); err != nil {
-		return forwarded{Endpoint: m.Hops[0].Endpoint, Reason: err.Error()}
+		return forwarded{Endpoint: m.Hops[0].Endpoint, From: own.Endpoint, Reason: err.Error()}
 	}
 	return out
 }
@@ -265,7 +272,10 @@
 func (e *Engine) stepTime(m forward, own route.Hop) time.Duration {
 	e.mu.Lock()
 	seq, held := e.sequences[m.RequestID]
-	e.sequences[m.RequestID] = sequence{tokens: m.Position + 1, used: time.Now()}
+	if !seq.layers.Covers(own.Layers) {
+		seq, held = sequence{layers: own.Layers}, false
+	}
+	e.sequences[m.RequestID] = sequence{layers: seq.layers, tokens: m.Position + 1, used: time.Now()}
 	perLayer := e.holding.LayerTime
 	e.mu.Unlock()
 	missing := max(m.Position-seq.tokens, 0)
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// LoseAnswers closes the connection of that many calls after they took
 	// effect.
 	LoseAnswers int `json:"lose_answers"`
+	// Links are the delays, in milliseconds, of the ways to other endpoints;
+	// a negative one cuts the way.
+	Links map[string]int `json:"links"`
 }
 
 // faults holds the fault in force.
@@ -48,6 +52,20 @@
 	return true
 }
 
+var errCut = errors.New("the link is cut")
+
+// cross takes the time of the way to another endpoint.
+func (f *faults) cross(to string) error {
+	f.mu.Lock()
+	delay := f.fault.Links[to]
+	f.mu.Unlock()
+	if delay < 0 {
+		return errCut
+	}
+	time.Sleep(time.Duration(delay) * time.Millisecond)
+	return nil
+}
+
 // serve registers the call that sets faults, and applies them to all others.
 func (f *faults) serve(app *fiber.App) {
 	app.Post("/fault", func(c fiber.Ctx) error {
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -53,7 +53,7 @@
 		if out.Reason != "" {
 			_ = writeEvent(w, engine.Event{
 				Kind: engine.EventError, RequestID: g.RequestID, Attempt: g.Attempt,
-				Position: position, Endpoint: out.Endpoint, Reason: out.Reason,
+				Position: position, Endpoint: out.Endpoint, From: out.From, Reason: out.Reason,
 			})
 			return
 		}
