Fold rules and lease over one seam, and let one host hold the lease

Cause: a host that joins a log whose oldest records are gone can't judge what builds on them: it would accept a publication that all others refused, or a claim. A reset puts a file in force if every copy of the last one was lost.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -182,6 +182,8 @@
 		every(ctx, d.cfg.Times.StatusEvery.D()/hurry, d.readStatuses),
 		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
 		d.keepJournal(ctx),
+		every(ctx, leasePoll, d.keepLease),
+		every(ctx, d.cfg.Times.CheckpointEvery.D(), d.checkpoint),
 	}
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -22,6 +22,7 @@
 	d.draining.Store(true)
 	d.log.Info("daemon: draining", "requests", d.gate.Present(), "claims", d.claims.Running())
 	d.tellLeaving()
+	d.releaseLease()
 	d.waitUntil(start.Add(d.cfg.Times.EntriesValid.D()), bound)
 	d.claims.Close()
 	d.waitFor(func() bool { return d.gate.Present() == 0 && d.claims.Running() == 0 }, bound)
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -45,15 +45,15 @@
 	for _, n := range r.Known.Leaves {
 		d.directory.Leave(n, now)
 	}
-	if r.Known.Rules.Version > 0 {
-		d.keeper.Restore(r.Known.Rules)
+	if r.Known.Snapshot.Rules.Version > 0 {
+		d.keeper.Restore(r.Known.Snapshot)
 	}
 }
 
 // known is what this host can tell a fresh one.
 func (d *Daemon) known() *peer.Known {
 	k := &peer.Known{}
-	k.Rules, _ = d.keeper.Checkpoint()
+	k.Snapshot, _ = d.keeper.Snapshot()
 	for _, h := range d.directory.View().Hosts {
 		if h.Leaving {
 			k.Leaves = append(k.Leaves, directory.Leaving{Host: h.Name, Incarnation: h.Incarnation})
--- /dev/null
+++ b/daemon/lease.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bulrushshed/lease"
+	"bulrushshed/platform"
+	"bulrushshed/publication"
+)
+
+// leasePoll is the time between two looks at the lease.
+const leasePoll = 100 * time.Millisecond
+
+// holder names this host, in its present incarnation, in lease records.
+func (d *Daemon) holder() string {
+	return fmt.Sprintf("%s.%d", d.self.Host, d.self.Incarnation)
+}
+
+// keepLease claims the lease when nobody holds it, and renews it while this
+// host does.
+func (d *Daemon) keepLease(context.Context) {
+	if d.draining.Load() {
+		return
+	}
+	if r, ok := d.keeper.NextLease(time.Now()); ok {
+		d.appendLease(r)
+	}
+}
+
+// appendLease appends a record. Whether it was accepted shows when it is read
+// back, so a failure needs no answer here.
+func (d *Daemon) appendLease(r lease.Record) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	_, err = d.platform.Append(platform.Entry{ID: r.ID, Type: platform.RecordLease, Body: body})
+	if err != nil {
+		d.log.Debug("daemon: lease record not appended", "cause", err.Error())
+	}
+}
+
+// releaseLease gives the lease up at a graceful stop.
+func (d *Daemon) releaseLease() {
+	if r, ok := d.keeper.ReleaseLease(); ok {
+		d.appendLease(r)
+	}
+}
+
+// checkpoint repeats the state in the log, if this host holds the lease.
+func (d *Daemon) checkpoint(context.Context) {
+	if _, ok := d.keeper.Holds(time.Now()); !ok {
+		return
+	}
+	s, ok := d.keeper.Snapshot()
+	if !ok || s.Rules.Version == 0 {
+		return
+	}
+	body, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	e := platform.Entry{ID: publication.NewID(), Type: platform.RecordCheckpoint, Body: body}
+	if _, err := d.platform.Append(e); err != nil {
+		d.log.Warn("daemon: checkpoint not appended", "cause", err.Error())
+	}
+}
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -12,7 +12,7 @@
 	"bulrushshed/gossip"
 	"bulrushshed/peer"
 	"bulrushshed/platform"
-	"bulrushshed/rule"
+	"bulrushshed/publication"
 )
 
 // The keys of gossip items.
@@ -33,13 +33,13 @@
 )
 
 // spreadRules passes on a rule file that came in force here.
-func (d *Daemon) spreadRules(c rule.Checkpoint) {
-	body, err := json.Marshal(c)
+func (d *Daemon) spreadRules(s publication.Snapshot) {
+	body, err := json.Marshal(s)
 	if err != nil {
 		panic(err)
 	}
 	d.items.Put(gossip.Item{
-		Key: itemRules, Stamp: int64(c.Version), Value: body, LifeMS: rulesLife.Milliseconds(),
+		Key: itemRules, Stamp: int64(s.Rules.Version), Value: body, LifeMS: rulesLife.Milliseconds(),
 	}, time.Now())
 }
 
@@ -65,12 +65,12 @@
 	for _, i := range items {
 		switch {
 		case i.Key == itemRules:
-			var c rule.Checkpoint
-			if err := json.Unmarshal(i.Value, &c); err != nil {
+			var s publication.Snapshot
+			if err := json.Unmarshal(i.Value, &s); err != nil {
 				d.log.Warn("daemon: unreadable rules item", "cause", err.Error())
 				continue
 			}
-			d.keeper.Restore(c)
+			d.keeper.Restore(s)
 		case strings.HasPrefix(i.Key, itemLeaves):
 			host := strings.TrimPrefix(i.Key, itemLeaves)
 			d.directory.Leave(directory.Leaving{Host: host, Incarnation: i.Stamp}, time.Now())
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,6 +18,7 @@
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
 	"bulrushshed/keys"
+	"bulrushshed/lease"
 	"bulrushshed/meter"
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
@@ -113,7 +114,10 @@
 	d.ledger = claim.NewLedger(t.KeyLife.D())
 	d.canceller = newCanceller(d.engines, log)
 	d.keeper = publication.NewKeeper(
-		publication.Options{Limit: logLimit, Wait: logWait, Pause: logPause}, d.spreadRules, log)
+		publication.Options{
+			Limit: logLimit, Wait: logWait, Pause: logPause, Self: d.holder(),
+			Lease: lease.Options{Term: t.LeaseTerm.D(), Margin: t.LeaseMargin.D(), Renew: t.LeaseRenew.D()},
+		}, d.spreadRules, log)
 	d.gauges()
 	return d, nil
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -6,7 +6,7 @@
 	"bulrushshed/gossip"
 	"bulrushshed/outcome"
 	"bulrushshed/platform"
-	"bulrushshed/rule"
+	"bulrushshed/publication"
 )
 
 // Kind says what a Message asks for.
@@ -36,7 +36,7 @@
 
 // Known is what a fresh host learns of another.
 type Known struct {
-	Rules rule.Checkpoint `cbor:"rules"`
+	Snapshot publication.Snapshot `cbor:"snapshot"`
 	// Hosts is the platform's list as the other host last read it, and
 	// Leaves what it knows of leaving hosts.
 	Hosts  []platform.Host     `cbor:"hosts"`
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -77,6 +78,8 @@
 	engines []engineSpec
 	// engineFlags are further flags of all engines.
 	engineFlags []string
+	// version is that of the rules at the start.
+	version rule.Version
 	// services is the number of service replicas.
 	services int
 }
@@ -120,7 +123,9 @@
 	for n := 1; n <= entries; n++ {
 		c.startEntry(n)
 	}
-	c.publish(0, rules)
+	if entries > 0 {
+		c.version = c.publish(0, rules)
+	}
 	c.eventually("all entry hosts see all", c.allSeeAll)
 	return c
 }
@@ -308,6 +313,10 @@
 		var err error
 		p := rule.Publication{ID: publication.NewID(), Base: base, Author: "test", Text: text}
 		v, err = publication.Publish(c.log(), p, 100*time.Millisecond, 20)
+		var e *publication.Error
+		if errors.As(err, &e) && e.Kind == publication.KindConflict {
+			c.t.Fatal(err)
+		}
 		return err == nil
 	})
 	return v
--- a/publication/keeper.go
+++ b/publication/keeper.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushshed/lease"
 	"bulrushshed/platform"
 	"bulrushshed/rule"
 )
@@ -30,6 +31,17 @@
 	Wait time.Duration
 	// Pause is the wait behind a failed read.
 	Pause time.Duration
+	// Self names this host in its present incarnation, and Lease are the
+	// times of the lease.
+	Self  string
+	Lease lease.Options
+}
+
+// Snapshot is what a host needs to go on from some offset of the log: the rules
+// and the lease as of that offset.
+type Snapshot struct {
+	Rules rule.Checkpoint `json:"rules"`
+	Lease lease.State     `json:"lease"`
 }
 
 // State is how far a keeper has come, for status.
@@ -38,6 +50,9 @@
 	ReadTo   int64        `json:"read_to"`
 	Complete bool         `json:"complete"`
 	LastRead time.Time    `json:"last_read"`
+	Lease    lease.State  `json:"lease"`
+	// Holds is whether this host may act as the holder of the lease.
+	Holds bool `json:"holds"`
 	// Failure is why the last read failed, or "".
 	Failure string `json:"failure"`
 }
@@ -48,16 +63,17 @@
 	log     *slog.Logger
 	current atomic.Pointer[rule.InForce]
 	// changed is called, without the lock, after a newer file came in force.
-	changed func(rule.Checkpoint)
+	changed func(Snapshot)
 
 	mu    sync.Mutex
 	fold  *rule.Fold
+	seat  *lease.Seat
 	state State
 }
 
 // NewKeeper returns a keeper with no file in force.
-func NewKeeper(o Options, changed func(rule.Checkpoint), log *slog.Logger) *Keeper {
-	k := &Keeper{opts: o, log: log, changed: changed, fold: rule.NewFold()}
+func NewKeeper(o Options, changed func(Snapshot), log *slog.Logger) *Keeper {
+	k := &Keeper{opts: o, log: log, changed: changed, fold: rule.NewFold(), seat: lease.NewSeat(o.Lease, o.Self)}
 	first := k.fold.Current()
 	k.current.Store(&first)
 	return k
@@ -74,35 +90,71 @@
 	s.Version = k.fold.Current().Version
 	s.ReadTo = k.fold.ReadTo()
 	s.Complete = k.fold.Complete()
+	s.Lease = k.seat.State()
+	_, s.Holds = k.seat.Holds(time.Now())
 	return s
 }
 
-// Checkpoint returns what a peer needs to go on from here.
-func (k *Keeper) Checkpoint() (rule.Checkpoint, bool) {
+// Snapshot returns what another host needs to go on from here; ok is false
+// while records are missing here.
+func (k *Keeper) Snapshot() (s Snapshot, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.snapshot()
+}
+
+func (k *Keeper) snapshot() (Snapshot, bool) {
+	c, _ := k.fold.Checkpoint()
+	return Snapshot{Rules: c, Lease: k.seat.State()}, k.fold.Complete() && k.seat.ReadTo() == c.ReadTo
+}
+
+// Restore takes the snapshot of a peer.
+func (k *Keeper) Restore(s Snapshot) {
+	k.apply(func() { k.restore(s, time.Now()) })
+}
+
+func (k *Keeper) restore(s Snapshot, now time.Time) {
+	k.fold.Restore(s.Rules)
+	k.seat.Restore(s.Lease, s.Rules.ReadTo, now)
+}
+
+// Holds reports whether this host may act as the holder of the lease at a
+// time, and the fencing number. It is to be asked right before each order.
+func (k *Keeper) Holds(now time.Time) (fence int64, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.fold.Checkpoint()
+	return k.seat.Holds(now)
 }
 
-// Restore takes a peer's file.
-func (k *Keeper) Restore(c rule.Checkpoint) {
-	k.apply(func(f *rule.Fold) { f.Restore(c) })
+// NextLease returns the lease record that this host is to append now.
+func (k *Keeper) NextLease(now time.Time) (lease.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seat.Next(NewID(), now)
 }
 
-// apply changes the fold, and tells of a newer file.
-func (k *Keeper) apply(change func(f *rule.Fold)) {
+// ReleaseLease returns the record by which a host that stops gives up the
+// lease, and acts no more.
+func (k *Keeper) ReleaseLease() (lease.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seat.Release(NewID())
+}
+
+// apply changes what is folded, and tells of a newer file.
+func (k *Keeper) apply(change func()) {
 	k.mu.Lock()
 	before := k.fold.Current().Version
-	change(k.fold)
+	change()
 	now := k.fold.Current()
-	c, _ := k.fold.Checkpoint()
+	s, _ := k.snapshot()
 	if now.Version > before {
 		k.current.Store(&now)
 	}
 	k.mu.Unlock()
 	if now.Version > before {
 		k.log.Info("publication: in force", "version", int64(now.Version), "author", now.Author)
-		k.changed(c)
+		k.changed(s)
 	}
 }
 
@@ -148,14 +200,17 @@
 
 // take folds a page that was asked for from an offset, and returns the next.
 func (k *Keeper) take(page platform.Page, from int64, o Observer) int64 {
-	k.apply(func(f *rule.Fold) {
+	now := time.Now()
+	k.apply(func() {
 		if page.First > from {
-			f.Gap(page.First)
+			k.fold.Gap(page.First)
+			k.seat.Gap(page.First)
 		}
 		for _, r := range page.Records {
-			k.record(f, r)
+			k.record(r, now)
 		}
-		f.Advance(page.Next - 1)
+		k.fold.Advance(page.Next - 1)
+		k.seat.Advance(page.Next - 1)
 	})
 	for _, r := range page.Records {
 		o.Record(r)
@@ -164,23 +219,35 @@
 }
 
 // record folds one record; one that can't be read counts for no host.
-func (k *Keeper) record(f *rule.Fold, r platform.Record) {
+func (k *Keeper) record(r platform.Record, now time.Time) {
+	var err error
 	switch r.Type {
 	case platform.RecordPublication:
 		var p rule.Publication
-		if err := json.Unmarshal(r.Body, &p); err != nil {
-			k.log.Warn("publication: unreadable record", "offset", r.Offset, "cause", err.Error())
-			return
+		if err = json.Unmarshal(r.Body, &p); err == nil {
+			k.publish(r.Offset, p, now)
 		}
-		verdict := f.Publish(r.Offset, p)
-		k.log.Info("publication: read", "offset", r.Offset, "verdict", string(verdict))
 	case platform.RecordCheckpoint:
-		var c rule.Checkpoint
-		if err := json.Unmarshal(r.Body, &c); err != nil {
-			k.log.Warn("publication: unreadable record", "offset", r.Offset, "cause", err.Error())
-			return
+		var s Snapshot
+		if err = json.Unmarshal(r.Body, &s); err == nil {
+			k.restore(s, now)
 		}
-		f.Restore(c)
-	case platform.RecordOutcomes, platform.RecordLease:
+	case platform.RecordLease:
+		var l lease.Record
+		if err = json.Unmarshal(r.Body, &l); err == nil {
+			k.seat.Read(r.Offset, l, now)
+		}
+	case platform.RecordOutcomes:
+	}
+	if err != nil {
+		k.log.Warn("publication: unreadable record", "offset", r.Offset, "cause", err.Error())
+	}
+}
+
+func (k *Keeper) publish(offset int64, p rule.Publication, now time.Time) {
+	verdict := k.fold.Publish(offset, p)
+	if p.Reset && verdict == rule.VerdictAccepted {
+		k.seat.Reset(offset, now)
 	}
+	k.log.Info("publication: read", "offset", offset, "verdict", string(verdict))
 }
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -94,9 +94,9 @@
 		verdict := fold.Publish(r.Offset, p)
 		return append(steps, Step{Offset: r.Offset, ID: p.ID, Author: p.Author, Base: p.Base, Verdict: verdict})
 	case platform.RecordCheckpoint:
-		var c rule.Checkpoint
-		if json.Unmarshal(r.Body, &c) == nil {
-			fold.Restore(c)
+		var s Snapshot
+		if json.Unmarshal(r.Body, &s) == nil {
+			fold.Restore(s.Rules)
 		}
 	case platform.RecordOutcomes, platform.RecordLease:
 	}
--- a/rule/fold.go
+++ b/rule/fold.go
@@ -1,5 +1,7 @@
 package rule
 
+import "bulrushshed/platform"
+
 // Version is the log offset of the publication that was accepted; 0 means
 // that no file is in force. Offsets start at 1.
 type Version int64
@@ -15,6 +17,9 @@
 	Author string `json:"author"`
 	// Text is the whole rule file.
 	Text string `json:"text"`
+	// Reset puts the file in force whatever was in force before. It is the
+	// operators' way out if every copy of the file in force was lost.
+	Reset bool `json:"reset,omitempty"`
 }
 
 // Checkpoint says which file was in force once the log had been folded up to
@@ -56,17 +61,9 @@
 type Fold struct {
 	// current never moves to an older version.
 	current InForce
-	// readTo is the last offset that current accounts for.
-	readTo int64
-	// first is the oldest offset at hand after a gap; 0 while there is none.
-	first int64
-	// held are the publications read since the gap, in order of offset.
-	held []heldPublication
-}
-
-type heldPublication struct {
-	offset      int64
-	publication Publication
+	// seam holds publications while records before them are missing, since
+	// one of those may have changed the version.
+	seam platform.Seam[Publication]
 }
 
 // NewFold returns a fold with no file in force.
@@ -78,45 +75,48 @@
 func (f *Fold) Current() InForce { return f.current }
 
 // Complete reports whether every record before the next one is accounted for.
-func (f *Fold) Complete() bool { return f.first == 0 }
+func (f *Fold) Complete() bool { return f.seam.Complete() }
 
 // ReadTo returns the last offset that the file in force accounts for.
-func (f *Fold) ReadTo() int64 { return f.readTo }
+func (f *Fold) ReadTo() int64 { return f.seam.ReadTo() }
 
 // Advance notes that all records up to an offset were read.
-func (f *Fold) Advance(offset int64) {
-	if f.Complete() {
-		f.readTo = max(f.readTo, offset)
-	}
-}
+func (f *Fold) Advance(offset int64) { f.seam.Advance(offset) }
 
-// Gap notes that the log now begins at first, after records that this fold
-// has not read. One of them may have changed the version, so publications
-// are held until a checkpoint tells.
-func (f *Fold) Gap(first int64) {
-	if first <= f.readTo+1 {
-		return
-	}
-	f.first = first
-	f.held = nil
-}
+// Gap notes that the log now begins at first.
+func (f *Fold) Gap(first int64) { f.seam.Gap(first) }
 
 // Publish applies the publication that stands at a log offset.
 func (f *Fold) Publish(offset int64, p Publication) Verdict {
-	if !f.Complete() {
-		f.held = append(f.held, heldPublication{offset: offset, publication: p})
+	if p.Reset && Version(offset) > f.current.Version {
+		return f.reset(offset, p)
+	}
+	if !f.seam.Complete() {
+		f.seam.Read(offset, p)
 		return VerdictHeld
 	}
-	if offset <= f.readTo {
+	if !f.seam.Read(offset, p) {
 		return VerdictOld
 	}
-	f.readTo = offset
+	return f.judge(offset, p)
+}
+
+func (f *Fold) judge(offset int64, p Publication) Verdict {
 	if p.Base != f.current.Version {
 		return VerdictConflict
 	}
 	return f.replace(Version(offset), p.ID, p.Author, p.Text)
 }
 
+// reset puts a file in force whatever was in force before.
+func (f *Fold) reset(offset int64, p Publication) Verdict {
+	verdict := f.replace(Version(offset), p.ID, p.Author, p.Text)
+	if verdict == VerdictAccepted {
+		f.seam.Reset(offset, f.release)
+	}
+	return verdict
+}
+
 // Restore applies a checkpoint, which came from the log or from a peer. All
 // hosts accept the same files, so a newer version is always the right one;
 // it closes a gap if it accounts for all the missing records.
@@ -128,22 +128,12 @@
 	if verdict == VerdictFaulty || c.Version < f.current.Version {
 		return verdict
 	}
-	f.readTo = max(f.readTo, c.ReadTo)
-	if !f.Complete() && f.readTo+1 >= f.first {
-		f.release()
-	}
+	f.seam.Restore(c.ReadTo, f.release)
 	return verdict
 }
 
-// release judges the publications that were held during a gap.
-func (f *Fold) release() {
-	held := f.held
-	f.first = 0
-	f.held = nil
-	for _, h := range held {
-		f.Publish(h.offset, h.publication)
-	}
-}
+// release judges a publication that was held.
+func (f *Fold) release(offset int64, p Publication) { f.judge(offset, p) }
 
 func (f *Fold) replace(v Version, id, author, text string) Verdict {
 	file, err := Parse(text)
@@ -158,6 +148,6 @@
 // false while there is no file in force or records are missing.
 func (f *Fold) Checkpoint() (c Checkpoint, ok bool) {
 	cur := f.current
-	c = Checkpoint{ReadTo: f.readTo, Version: cur.Version, ID: cur.ID, Author: cur.Author, Text: cur.Text}
+	c = Checkpoint{ReadTo: f.ReadTo(), Version: cur.Version, ID: cur.ID, Author: cur.Author, Text: cur.Text}
 	return c, f.Complete() && cur.Version > 0
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -159,6 +159,10 @@
 		{"platform", t.Platform},
 		{"peer", t.Peer},
 		{"gossip_every", t.GossipEvery},
+		{"lease_term", t.LeaseTerm},
+		{"lease_margin", t.LeaseMargin},
+		{"lease_renew", t.LeaseRenew},
+		{"checkpoint_every", t.CheckpointEvery},
 		{"read", t.Read},
 		{"write", t.Write},
 		{"drain", t.Drain},
@@ -166,6 +170,9 @@
 	for _, f := range fields {
 		c.duration("times."+f.name, f.got)
 	}
+	if t.LeaseRenew*2 > t.LeaseTerm {
+		c.wrong("times.lease_renew", t.LeaseRenew.D().String(), "at most half of times.lease_term")
+	}
 	if t.StatusLife <= t.StatusEvery {
 		c.wrong("times.status_life", t.StatusLife.D().String(), "more than times.status_every")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -111,6 +111,15 @@
 	Peer     Duration `json:"peer"`
 	// GossipEvery is the time between two exchanges with other hosts.
 	GossipEvery Duration `json:"gossip_every"`
+	// LeaseTerm is how long the holder of the lease may act behind a
+	// renewal, LeaseMargin how much longer a challenger waits, and
+	// LeaseRenew the time between two renewals.
+	LeaseTerm   Duration `json:"lease_term"`
+	LeaseMargin Duration `json:"lease_margin"`
+	LeaseRenew  Duration `json:"lease_renew"`
+	// CheckpointEvery is the time between two checkpoints in the log. It
+	// must be well under the time for which the log keeps records.
+	CheckpointEvery Duration `json:"checkpoint_every"`
 	// Read and Write bound a caller's connection.
 	Read  Duration `json:"read"`
 	Write Duration `json:"write"`
@@ -132,6 +141,7 @@
 			FirstGap: sec(10), TokenGap: sec(5), ProbeAfter: ms(250), Probe: ms(250), RouteWait: sec(5),
 			StatusEvery: sec(1), StatusLife: sec(5), HostsEvery: ms(500), SuspectLife: sec(1),
 			Platform: sec(4), Peer: sec(2), GossipEvery: ms(250),
+			LeaseTerm: sec(5), LeaseMargin: sec(1), LeaseRenew: ms(1500), CheckpointEvery: sec(60),
 			Read: sec(30), Write: sec(4000), Drain: sec(120),
 		},
 	}
