Spread rule changes as deltas, and let few hosts read the log

Cause: news of a version carried the whole file: at 5,800 customers some 600 KB a change, passed on about 18 times by every host. Every host read the log as it grew, which at 400 hosts is 400 open reads for one record. Change: the news is the version alone; a host that lacks it asks whoever told it, and gets a delta if it has the version before. In a fleet of over 12, two hosts a failure domain read the log as it grows; the others read it every 8 s, when they need a key looked up, and otherwise hear of news.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,8 @@
 	node *peer.Node
 	// turn counts the turns of readStatuses, which alone uses it.
 	turn int
+	// wake makes a slow read of the log start at once.
+	wake chan struct{}
 	// joined is set once, when callers are served.
 	joined atomic.Bool
 	// draining is set once, when a graceful stop begins.
@@ -175,7 +177,7 @@
 func (d *Daemon) loops(ctx context.Context) []<-chan error {
 	return []<-chan error{
 		d.node.Serve(ctx),
-		d.keeper.Follow(ctx, d.platform, d),
+		d.keeper.Follow(ctx, pacedLog{d}, d),
 		d.canceller.serve(ctx),
 		every(ctx, d.cfg.Times.HostsEvery.D(), d.readHosts),
 		every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
--- a/daemon/home.go
+++ b/daemon/home.go
@@ -64,7 +64,10 @@
 	case m.Kind == peer.KindForward && m.Forward != nil:
 		return d.handleForward(ctx, *m.Forward)
 	case m.Kind == peer.KindExchange && m.Exchange != nil:
-		return peer.Reply{Exchange: d.answerExchange(*m.Exchange)}
+		return peer.Reply{Exchange: d.answerExchange(ctx, *m.Exchange)}
+	case m.Kind == peer.KindRules:
+		s, delta := d.keeper.Since(m.Have)
+		return peer.Reply{Rules: &peer.Rules{Snapshot: s, Delta: delta}}
 	case m.Kind == peer.KindJoin:
 		return peer.Reply{Known: d.known()}
 	}
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -109,6 +109,10 @@
 // Look returns what the log knows of a key.
 func (p past) Look(key claim.Key) (claim.Result, bool) {
 	finding, offset, kind := p.d.ledger.Find(key, time.Now())
+	if finding == claim.FindingNone {
+		p.d.readNow()
+		finding, offset, kind = p.d.ledger.Find(key, time.Now())
+	}
 	switch finding {
 	case claim.FindingNeverRan:
 		return claim.Result{Err: &outcome.Error{
--- a/daemon/lease.go
+++ b/daemon/lease.go
@@ -22,7 +22,7 @@
 // keepLease claims the lease when nobody holds it, and renews it while this
 // host does.
 func (d *Daemon) keepLease(context.Context) {
-	if d.draining.Load() {
+	if d.draining.Load() || !d.reads() {
 		return
 	}
 	if r, ok := d.keeper.NextLease(time.Now()); ok {
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 	"bulrushshed/peer"
 	"bulrushshed/platform"
 	"bulrushshed/publication"
+	"bulrushshed/rule"
 )
 
 // The keys of gossip items.
@@ -27,22 +27,40 @@
 	// leaveLife is how long news of a leave is passed on; the platform's
 	// list shows it by then.
 	leaveLife = 2 * time.Minute
-	// rulesLife is how long a rule file is passed on; each host renews its
-	// own copy.
+	// rulesLife is how long news of a version is passed on; a fresh host asks
+	// for the rules by itself.
 	rulesLife = time.Hour
 )
 
-// spreadRules passes on a rule file that came in force here.
+// spreadRules passes on that a version is in force; a host that lacks it asks
+// whoever told it.
 func (d *Daemon) spreadRules(s publication.Snapshot) {
-	body, err := json.Marshal(s)
-	if err != nil {
-		panic(err)
-	}
 	d.items.Put(gossip.Item{
-		Key: itemRules, Stamp: int64(s.Rules.Version), Value: body, LifeMS: rulesLife.Milliseconds(),
+		Key: itemRules, Stamp: int64(s.Rules.Version), LifeMS: rulesLife.Milliseconds(),
 	}, time.Now())
 }
 
+// pullRules gets the rules from a peer that has a newer version.
+func (d *Daemon) pullRules(ctx context.Context, address string) {
+	have := d.keeper.Current().Version
+	for range 2 {
+		r, err := d.node.Call(ctx, address, peer.Message{Kind: peer.KindRules, Have: have})
+		if err != nil || r.Rules == nil {
+			d.log.Debug("daemon: rules not pulled", "peer", address)
+			return
+		}
+		if r.Rules.Delta == nil {
+			d.keeper.Restore(r.Rules.Snapshot)
+			return
+		}
+		if d.keeper.RestoreDelta(r.Rules.Snapshot, *r.Rules.Delta) == nil {
+			return
+		}
+		// Another version came in force meanwhile; take the whole text.
+		have = 0
+	}
+}
+
 // spreadLeave passes on that a host leaves.
 func (d *Daemon) spreadLeave(n directory.Leaving) {
 	d.log.Info("daemon: host leaves", "host", n.Host, "incarnation", n.Incarnation)
@@ -60,17 +78,14 @@
 	d.exchange(context.Background())
 }
 
-// learn acts on items that were new here.
-func (d *Daemon) learn(items []gossip.Item) {
+// learn acts on items that were new here, which the host at an address told.
+func (d *Daemon) learn(ctx context.Context, items []gossip.Item, address string) {
 	for _, i := range items {
 		switch {
 		case i.Key == itemRules:
-			var s publication.Snapshot
-			if err := json.Unmarshal(i.Value, &s); err != nil {
-				d.log.Warn("daemon: unreadable rules item", "cause", err.Error())
-				continue
+			if rule.Version(i.Stamp) > d.keeper.Current().Version && address != "" {
+				d.pullRules(ctx, address)
 			}
-			d.keeper.Restore(s)
 		case strings.HasPrefix(i.Key, itemLeaves):
 			host := strings.TrimPrefix(i.Key, itemLeaves)
 			d.directory.Leave(directory.Leaving{Host: host, Incarnation: i.Stamp}, time.Now())
@@ -86,6 +101,10 @@
 	partners := gossip.Partners(d.self.Host, lo.Keys(entries), fanout, now)
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Times.Peer.D())
 	defer cancel()
+	if i, ok := d.items.Get(itemRules); ok && len(partners) > 0 && rule.Version(i.Stamp) > d.keeper.Current().Version {
+		// The host that told of the version did not give it.
+		d.pullRules(ctx, entries[partners[0]].Peer)
+	}
 	done := make(chan struct{}, len(partners))
 	for n, name := range partners {
 		x := d.items.News(len(entries))
@@ -118,7 +137,7 @@
 	if r.Exchange == nil {
 		return
 	}
-	d.learn(d.items.Merge(r.Exchange.Items, time.Now()))
+	d.learn(ctx, d.items.Merge(r.Exchange.Items, time.Now()), address)
 	if r.Exchange.Digest == nil {
 		return
 	}
@@ -129,9 +148,19 @@
 	}
 }
 
+// peerAddress returns where an entry host meets its peers, or "".
+func (d *Daemon) peerAddress(name string) string {
+	for _, h := range d.directory.View().Entries {
+		if h.Name == name {
+			return h.Peer
+		}
+	}
+	return ""
+}
+
 // answerExchange merges a partner's items and returns what it lacks.
-func (d *Daemon) answerExchange(x gossip.Exchange) *gossip.Exchange {
-	d.learn(d.items.Merge(x.Items, time.Now()))
+func (d *Daemon) answerExchange(ctx context.Context, x gossip.Exchange) *gossip.Exchange {
+	d.learn(ctx, d.items.Merge(x.Items, time.Now()), d.peerAddress(x.From))
 	if x.Digest == nil {
 		return nil
 	}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -105,6 +105,7 @@
 		}),
 		items:    gossip.NewTable(gossip.Options{Self: cfg.Name, MaxBytes: gossipBytes, Redundancy: gossipRedundancy}),
 		inflight: balance.NewInflight(),
+		wake:     make(chan struct{}, 1),
 		gate:     admit.NewGate(cfg.Limits.Streams + cfg.Limits.Calls),
 		meter:    meter.New(maxCustomers, maxClasses),
 		platform: platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
@@ -126,6 +127,7 @@
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.keeper.Current().Version) })
 	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.Present()) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
+	d.meter.Gauge("bulrushshed_peer_bytes", func() float64 { return float64(d.node.Bytes()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.keeper.State().LastRead).Seconds() })
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -7,6 +7,7 @@
 	"bulrushshed/outcome"
 	"bulrushshed/platform"
 	"bulrushshed/publication"
+	"bulrushshed/rule"
 )
 
 // Kind says what a Message asks for.
@@ -17,6 +18,7 @@
 	KindForward  Kind = "forward"
 	KindExchange Kind = "exchange"
 	KindJoin     Kind = "join"
+	KindRules    Kind = "rules"
 )
 
 // Message is one request; only the field of its kind is set.
@@ -24,6 +26,15 @@
 	Kind     Kind             `cbor:"kind"`
 	Forward  *Forward         `cbor:"forward,omitempty"`
 	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
+	// Have is the version that a host asking for newer rules has.
+	Have rule.Version `cbor:"have,omitempty"`
+}
+
+// Rules is the file in force on the host that answers. If the asking host has
+// the version before, Snapshot is without the text, and Delta gives it.
+type Rules struct {
+	Snapshot publication.Snapshot `cbor:"snapshot"`
+	Delta    *rule.Delta          `cbor:"delta,omitempty"`
 }
 
 // Forward passes a call on to the home of its key.
@@ -48,5 +59,6 @@
 	Answer   *outcome.Answer  `cbor:"answer,omitempty"`
 	Error    *outcome.Error   `cbor:"error,omitempty"`
 	Known    *Known           `cbor:"known,omitempty"`
+	Rules    *Rules           `cbor:"rules,omitempty"`
 	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -73,6 +74,9 @@
 	handler   Handler
 	log       *slog.Logger
 
+	// bytes counts what was sent and received, without the transport's part.
+	bytes atomic.Int64
+
 	// mu guards conns; it is held for no call.
 	mu    sync.Mutex
 	conns map[string]*dialing
@@ -190,7 +194,7 @@
 		n.log.Warn("peer: unreadable message", "cause", err.Error())
 		return
 	}
-	if err := write(s, n.handler.Handle(ctx, m)); err != nil {
+	if err := n.write(s, n.handler.Handle(ctx, m)); err != nil {
 		n.log.Debug("peer: reply not written", "cause", err.Error())
 	}
 }
@@ -200,17 +204,22 @@
 	if err != nil {
 		return err
 	}
+	n.bytes.Add(int64(len(body)))
 	if int64(len(body)) > n.opts.MaxBytes {
 		return eris.Errorf("got a message of over %d bytes", n.opts.MaxBytes)
 	}
 	return cbor.Unmarshal(body, out)
 }
 
-func write(w io.Writer, in any) error {
+// Bytes returns how many bytes of messages were sent and received so far.
+func (n *Node) Bytes() int64 { return n.bytes.Load() }
+
+func (n *Node) write(w io.Writer, in any) error {
 	body, err := cbor.Marshal(in)
 	if err != nil {
 		return err
 	}
+	n.bytes.Add(int64(len(body)))
 	_, err = w.Write(body)
 	return err
 }
@@ -230,7 +239,7 @@
 		s.CancelWrite(0)
 	})
 	defer stop()
-	if err := write(s, m); err != nil {
+	if err := n.write(s, m); err != nil {
 		return Reply{}, &Error{Op: "write", Kind: ErrorNoReply, Cause: err}
 	}
 	if err := s.Close(); err != nil {
--- a/publication/keeper.go
+++ b/publication/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,8 @@
 	opts    Options
 	log     *slog.Logger
 	current atomic.Pointer[rule.InForce]
+	// before is the file that was in force before the current one.
+	before atomic.Pointer[rule.InForce]
 	// changed is called, without the lock, after a newer file came in force.
 	changed func(Snapshot)
 
@@ -76,6 +79,7 @@
 	k := &Keeper{opts: o, log: log, changed: changed, fold: rule.NewFold(), seat: lease.NewSeat(o.Lease, o.Self)}
 	first := k.fold.Current()
 	k.current.Store(&first)
+	k.before.Store(&first)
 	return k
 }
 
@@ -118,6 +122,35 @@
 	k.seat.Restore(s.Lease, s.Rules.ReadTo, now)
 }
 
+// Since returns a snapshot for a host that has a version. If that is the one
+// before the current, the text is left out and the delta makes it.
+func (k *Keeper) Since(have rule.Version) (s Snapshot, delta *rule.Delta) {
+	before := k.before.Load()
+	s, _ = k.Snapshot()
+	if have == 0 || have != before.Version || s.Rules.Version <= have {
+		return s, nil
+	}
+	d := rule.NewDelta(have, before.Text, s.Rules.Text)
+	s.Rules.Text = ""
+	return s, &d
+}
+
+// RestoreDelta takes a snapshot without its text; it fails if the delta is not
+// of the file in force here.
+func (k *Keeper) RestoreDelta(s Snapshot, d rule.Delta) error {
+	cur := k.Current()
+	if cur.Version != d.Base {
+		return &Error{Op: "restore", Kind: KindConflict, Cause: fmt.Errorf("got a delta of version %d, want of %d", d.Base, cur.Version)}
+	}
+	text, err := d.Apply(cur.Text)
+	if err != nil {
+		return &Error{Op: "restore", Kind: KindFaulty, Cause: err}
+	}
+	s.Rules.Text = text
+	k.Restore(s)
+	return nil
+}
+
 // Holds reports whether this host may act as the holder of the lease at a
 // time, and the fencing number. It is to be asked right before each order.
 func (k *Keeper) Holds(now time.Time) (fence int64, ok bool) {
@@ -149,6 +182,7 @@
 	now := k.fold.Current()
 	s, _ := k.snapshot()
 	if now.Version > before {
+		k.before.Store(k.current.Load())
 		k.current.Store(&now)
 	}
 	k.mu.Unlock()
