Take a replica's own word that it leaves, and spread it

Cause: a replica that refused calls because it drains was only suspected, and tried again each time the suspicion lapsed, for as long as the platform's list did not show that it leaves. Change: the refusal says that the replica leaves; the host that hears it gives it no more work in this incarnation and tells the others.

--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -8,6 +8,7 @@
 	"bulrushshed/claim"
 	"bulrushshed/completion"
 	"bulrushshed/delivery"
+	"bulrushshed/directory"
 	"bulrushshed/platform"
 	"bulrushshed/route"
 	"bulrushshed/rule"
@@ -37,6 +38,14 @@
 	p.d.directory.Suspect(endpoint, incarnation, time.Now())
 }
 
+// Leaving gives an endpoint no new work, and tells the other hosts.
+func (p planner) Leaving(endpoint string, incarnation int64) {
+	n := directory.Leaving{Host: endpoint, Incarnation: incarnation}
+	if p.d.directory.Leave(n, time.Now()) {
+		p.d.spreadLeave(n)
+	}
+}
+
 // SuspectLink avoids the way between two endpoints for a while.
 func (p planner) SuspectLink(l route.Link) { p.d.directory.SuspectLink(l, time.Now()) }
 
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -57,8 +57,10 @@
 	// Pick returns a replica of the service that is not in tried, and counts
 	// the call on it until release is called.
 	Pick(service string, tried map[string]bool) (r Replica, release func(), ok bool)
-	// Suspect tells that a replica failed a call.
+	// Suspect tells that a replica failed a call, and Leaving that it said
+	// that it takes no new work.
 	Suspect(endpoint string, incarnation int64)
+	Leaving(endpoint string, incarnation int64)
 }
 
 // Homes passes calls on to the home of their key.
@@ -351,11 +353,19 @@
 	if err != nil {
 		d.Log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
 			"endpoint", to.Endpoint, "cause", err.Error())
-		d.Replicas.Suspect(to.Endpoint, to.Incarnation)
+		d.blame(to, err)
 	}
 	return answer, err
 }
 
+func (d *Deliverer) blame(to Replica, err error) {
+	if asOutcome(err).Cause == outcome.CauseLeaving {
+		d.Replicas.Leaving(to.Endpoint, to.Incarnation)
+		return
+	}
+	d.Replicas.Suspect(to.Endpoint, to.Incarnation)
+}
+
 // worst keeps the error that promises less: once a call may have run, a later
 // refusal does not change that.
 func worst(last, err error) error {
--- a/delivery/deliverer_test.go
+++ b/delivery/deliverer_test.go
@@ -36,6 +36,7 @@
 }
 
 func (s *script) Suspect(string, int64) {}
+func (s *script) Leaving(string, int64) {}
 func (s *script) Retried(string)        {}
 func (s *script) Leave()                {}
 func (s *script) Add(string, claim.Result) {
--- a/delivery/world_test.go
+++ b/delivery/world_test.go
@@ -127,6 +127,9 @@
 // Suspect does nothing.
 func (h *host) Suspect(string, int64) {}
 
+// Leaving does nothing.
+func (h *host) Leaving(string, int64) {}
+
 // Retried does nothing.
 func (h *host) Retried(string) {}
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -34,6 +34,7 @@
 	CauseNoEndpoint  Cause = "no_endpoint"
 	CauseNotSent     Cause = "not_sent"
 	CauseRefused     Cause = "refused_by_endpoint"
+	CauseLeaving     Cause = "endpoint_leaving"
 	CauseNoAnswer    Cause = "no_answer"
 	CauseStopping    Cause = "stopping"
 	CauseKeyMissing  Cause = "key_missing"
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -277,8 +277,12 @@
 // fault tells a stand-in to fail.
 func (c *cluster) fault(url string, f standin.Fault) {
 	c.t.Helper()
+	c.must(c.post(url+"/fault", f))
+}
+
+func (c *cluster) post(url string, in any) error {
 	client := jsonhttp.NewClient(jsonhttp.DefaultOptions())
-	c.must(client.Call(jsonhttp.Request{Method: http.MethodPost, URL: url + "/fault", Timeout: patience}, f, nil))
+	return client.Call(jsonhttp.Request{Method: http.MethodPost, URL: url, Timeout: patience}, in, nil)
 }
 
 func (c *cluster) get(url string, out any) error {
--- a/service/call.go
+++ b/service/call.go
@@ -9,6 +9,14 @@
 	HeaderNotRun    = "Not-Run"
 )
 
+// The values of HeaderNotRun.
+const (
+	// NotRun says that the call had no effect.
+	NotRun = "true"
+	// NotRunLeaving says so, too, and that the replica takes no new work.
+	NotRunLeaving = "leaving"
+)
+
 // Call is one call of a plain service.
 type Call struct {
 	RequestID   string
--- a/servicehttp/client.go
+++ b/servicehttp/client.go
@@ -47,15 +47,21 @@
 	}
 }
 
+// refusals are the values of the header by which a service says that it did
+// not run a call.
+var refusals = map[string]outcome.Cause{
+	service.NotRun:        outcome.CauseRefused,
+	service.NotRunLeaving: outcome.CauseLeaving,
+}
+
 // read turns an exchange into an answer or into what is known of the call.
 func read(resp *jsonhttp.Response, err error) (outcome.Answer, error) {
 	if err != nil {
 		return outcome.Answer{}, failure(err)
 	}
-	if strings.EqualFold(resp.Header(service.HeaderNotRun), "true") && resp.Status >= http.StatusBadRequest {
-		return outcome.Answer{}, &outcome.Error{
-			Op: "call", Kind: outcome.NotRun, Cause: outcome.CauseRefused, Message: string(resp.Body),
-		}
+	cause, refused := refusals[strings.ToLower(resp.Header(service.HeaderNotRun))]
+	if refused && resp.Status >= http.StatusBadRequest {
+		return outcome.Answer{}, &outcome.Error{Op: "call", Kind: outcome.NotRun, Cause: cause, Message: string(resp.Body)}
 	}
 	return outcome.Answer{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}, nil
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -49,8 +49,10 @@
 	draining   bool
 	running    int
 	executions []Execution
-	answered   map[string]bool
-	history    *os.File
+	// refused are the calls that came while the replica drained.
+	refused  []Execution
+	answered map[string]bool
+	history  *os.File
 }
 
 // NewService returns a service that has run what its history says.
@@ -84,6 +86,11 @@
 		defer s.mu.Unlock()
 		return c.JSON(s.executions)
 	})
+	app.Get("/refused", func(c fiber.Ctx) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return c.JSON(s.refused)
+	})
 	app.Post("/drain", func(c fiber.Ctx) error {
 		s.Drain()
 		return c.SendStatus(fiber.StatusNoContent)
@@ -127,7 +134,8 @@
 		Method: c.Method(), Path: c.Path(), Replica: s.opts.Name, At: time.Now(),
 	}
 	if !s.begin(e) {
-		return notRun(c, fiber.StatusServiceUnavailable, "draining")
+		c.Set(service.HeaderNotRun, service.NotRunLeaving)
+		return c.Status(fiber.StatusServiceUnavailable).JSON(fiber.Map{"error": "leaving"})
 	}
 	defer s.end()
 	time.Sleep(s.opts.WorkTime)
@@ -141,6 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
+		s.refused = append(s.refused, e)
 		return false
 	}
 	s.running++
