Draw routes in proportion to the greatest flow

Cause: every fresh request got the one fastest route by lagged load; nothing kept to the flow that the hardware allows. A request takes the better of two routes drawn by their shares; with the objective recovery the fastest route is considered, too. Load is counted by the share of its time that a stream spends at a hop. A request keeps the model version of its first token.

--- a/balance/inflight.go
+++ b/balance/inflight.go
@@ -7,57 +7,70 @@
 	"bulrushshed/route"
 )
 
-// Inflight counts the work of this host on each endpoint. It is safe for
-// concurrent use.
+// Inflight counts the work of this host on each endpoint, in requests at a
+// time: a stream is at one hop of its route at a time, so it counts at each by
+// the share of its time that it spends there. It is safe for concurrent use.
 type Inflight struct {
-	mu     sync.Mutex
-	counts map[string]int
+	mu   sync.Mutex
+	work map[string]float64
+	// requests are whole requests, by which an endpoint without any is told
+	// from one with a rounding error.
+	requests map[string]int
 }
 
 // NewInflight returns counts of zero.
 func NewInflight() *Inflight {
-	return &Inflight{counts: map[string]int{}}
+	return &Inflight{work: map[string]float64{}, requests: map[string]int{}}
 }
 
-// Add counts work on endpoints until the returned function is called.
-func (f *Inflight) Add(endpoints ...string) (release func()) {
+// Add counts a request on one endpoint until the returned function is called.
+func (f *Inflight) Add(endpoint string) (release func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range endpoints {
-		f.counts[e]++
-	}
-	return sync.OnceFunc(func() { f.drop(endpoints) })
+	f.change(endpoint, 1, 1)
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.change(endpoint, -1, -1)
+	})
 }
 
-func (f *Inflight) drop(endpoints []string) {
+// AddRoute counts a stream on a route until the returned function is called.
+func (f *Inflight) AddRoute(r *route.Route) (release func()) {
+	weights := r.Weights()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range endpoints {
-		if f.counts[e]--; f.counts[e] == 0 {
-			delete(f.counts, e)
+	for i, h := range r.Hops {
+		f.change(h.Endpoint, weights[i], 1)
+	}
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i, h := range r.Hops {
+			f.change(h.Endpoint, -weights[i], -1)
 		}
+	})
+}
+
+func (f *Inflight) change(endpoint string, work float64, requests int) {
+	f.work[endpoint] += work
+	f.requests[endpoint] += requests
+	if f.requests[endpoint] == 0 {
+		delete(f.work, endpoint)
+		delete(f.requests, endpoint)
 	}
 }
 
 // Of returns the work on one endpoint.
-func (f *Inflight) Of(endpoint string) int {
+func (f *Inflight) Of(endpoint string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.counts[endpoint]
+	return f.work[endpoint]
 }
 
 // All returns a copy of all counts.
-func (f *Inflight) All() map[string]int {
+func (f *Inflight) All() map[string]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.counts)
-}
-
-// Endpoints returns the endpoints of a route.
-func Endpoints(r route.Route) []string {
-	names := make([]string, 0, len(r.Hops))
-	for _, h := range r.Hops {
-		names = append(names, h.Endpoint)
-	}
-	return names
+	return maps.Clone(f.work)
 }
--- a/balance/replica.go
+++ b/balance/replica.go
@@ -11,7 +11,7 @@
 
 // Pick draws two of the replicas that are not in tried, and returns the one
 // with less own work. Replicas in the own failure domain win a tie.
-func Pick(replicas []platform.Host, tried map[string]bool, work func(string) int, domain string) (delivery.Replica, bool) {
+func Pick(replicas []platform.Host, tried map[string]bool, work func(string) float64, domain string) (delivery.Replica, bool) {
 	left := lo.Filter(replicas, func(h platform.Host, _ int) bool { return !tried[h.Name] })
 	if len(left) == 0 {
 		return delivery.Replica{}, false
@@ -25,7 +25,7 @@
 	return delivery.Replica{Endpoint: best.Name, Address: best.Address, Incarnation: best.Incarnation}, true
 }
 
-func lighter(a, b platform.Host, work func(string) int, domain string) platform.Host {
+func lighter(a, b platform.Host, work func(string) float64, domain string) platform.Host {
 	wa, wb := work(a.Name), work(b.Name)
 	if wb < wa || wb == wa && b.FailureDomain == domain && a.FailureDomain != domain {
 		return b
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -89,6 +89,7 @@
 	f.DurationVar(&e.opts.EventLag, "event-lag", time.Second, "how late cache events are")
 	f.IntVar(&e.opts.EventGap, "event-gap", 10, "of so many cache events one is lost")
 	f.DurationVar(&e.opts.ReportLag, "report-lag", 500*time.Millisecond, "age of the reported load")
+	f.Float64Var(&e.opts.Slowdown, "slowdown", 0.02, "share by which each further sequence slows a batch")
 	f.BoolVar(&e.opts.Fences, "fences", true, "refuse orders with an old fencing number")
 	f.DurationVar(&e.opts.StageTimeout, "stage-timeout", 400*time.Millisecond, "bound of a call to the next stage")
 	f.StringVar(&e.platform, "platform", "http://127.0.0.1:9000", "base URL of the platform")
--- a/completion/runner.go
+++ b/completion/runner.go
@@ -102,7 +102,11 @@
 	avoid      map[string]bool
 	avoidLinks map[route.Link]bool
 	cached     map[string]route.Range
-	log        *slog.Logger
+	// silent are the endpoints that did not answer when last asked.
+	silent map[string]bool
+	// version is the one that all tokens of the answer come from.
+	version string
+	log     *slog.Logger
 }
 
 // Run answers a request into a sink. The error is an *outcome.Error; it is of
@@ -131,6 +135,7 @@
 			last = err
 			break
 		}
+		x.version = rt.Version
 		f := x.attempt(ctx, rt)
 		release()
 		if f == nil {
@@ -163,10 +168,14 @@
 // pick is what the next plan must heed.
 func (x *run) pick() route.Pick {
 	done := len(x.progress.Delivered())
-	return route.Pick{
+	p := route.Pick{
 		Avoid: x.avoid, AvoidLinks: x.avoidLinks, Cached: x.cached,
 		Context: len(x.req.Prompt)/promptTokenBytes + done, Tokens: x.req.MaxTokens - done,
 	}
+	if done > 0 {
+		p.Version = x.version
+	}
+	return p
 }
 
 // pause waits for a route to come up; endpoints that failed may be tried
@@ -200,6 +209,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := x.progress.Begin()
+	x.silent = nil
 	s := x.engines.Generate(ctx, engine.Generate{
 		RequestID: x.req.ID, Attempt: n, Prompt: x.req.Prompt, Delivered: x.progress.Delivered(),
 		MaxTokens: x.req.MaxTokens, Priority: int(rule.PriorityNormal), Route: rt,
@@ -237,9 +247,13 @@
 			gap.Reset(x.opts.TokenGap)
 			silence.Reset(x.opts.ProbeAfter)
 		case <-silence.C:
-			if failed := x.probe(ctx, rt); len(failed) > 0 && len(s.Events()) == 0 {
+			failed := x.probe(ctx, rt)
+			if len(failed) > 0 && len(s.Events()) == 0 {
 				return &failure{cause: errSilent, failed: failed, started: true}
 			}
+			// An event came meanwhile; if it is an error, asking again would
+			// tell nothing new.
+			x.silent = failed
 			silence.Reset(x.opts.ProbeAfter)
 		case <-gap.C:
 			return &failure{cause: errGap, started: true}
@@ -292,6 +306,7 @@
 	case VerdictDrop:
 		x.counter.Dropped()
 	case VerdictDeliver:
+		x.silent = nil
 		if err := x.sink.Token(e.Position, e.Token); err != nil {
 			return true, &failure{cause: err, started: true, final: callerLeft(err)}
 		}
@@ -301,6 +316,9 @@
 		case e.From != "":
 			// Whether the endpoint or the way to it failed, asking tells.
 			f.links = []route.Link{{From: e.From, To: e.Endpoint}}
+			if len(x.silent) > 0 {
+				f.failed = x.silent
+			}
 		case e.Endpoint != "":
 			f.failed = map[string]bool{e.Endpoint: true}
 		}
@@ -319,8 +337,10 @@
 	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoints", lo.Keys(f.failed),
 		"position", len(x.progress.Delivered()), "cause", f.cause.Error())
 	x.counter.Resumed(causeOf(f))
-	for _, l := range f.links {
-		if !f.failed[l.To] {
+	if len(f.failed) == 0 {
+		// With a dead engine on the route, each one before it blames its own
+		// link.
+		for _, l := range f.links {
 			x.avoidLinks[l] = true
 			x.planner.SuspectLink(l)
 		}
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -23,14 +23,24 @@
 	_ caller.Entries     = planner{}
 )
 
+// candidates is the number of routes that are drawn for a new request. Two keep
+// close to the flow's proportions, which carry the most.
+const candidates = 2
+
 // Plan returns a route, and counts it until release is called.
 func (p planner) Plan(m rule.Model, pick route.Pick) (route.Route, func(), error) {
+	view := p.d.directory.View()
+	if pick.Fresh() {
+		if r := view.Draw(m, candidates, m.Objective == rule.ObjectiveRecovery, p.d.inflight.Of); r != nil {
+			return *r, p.d.inflight.AddRoute(r), nil
+		}
+	}
 	pick.Extra = p.d.inflight.All()
-	r, err := p.d.directory.View().Plan(m, pick)
+	r, err := view.Plan(m, pick)
 	if err != nil {
 		return route.Route{}, nil, err
 	}
-	return r, p.d.inflight.Add(balance.Endpoints(r)...), nil
+	return r, p.d.inflight.AddRoute(&r), nil
 }
 
 // Suspect avoids an endpoint for a while.
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -79,7 +79,7 @@
 			why = "failed a request lately"
 		case !h.Reporting:
 			why = "sends no status"
-		case h.Holding.Model != m.Name || h.Holding.Version != m.Version:
+		case h.Holding.Model != m.Name || h.Holding.Version != view.Version(m):
 			why = "holds " + h.Holding.Model + " " + h.Holding.Version
 		case !r.Uses(h.Name):
 			why = "another route is faster now"
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -63,8 +63,9 @@
 
 // Directory gathers news. Its lock is taken before no other.
 type Directory struct {
-	opts Options
-	view atomic.Pointer[View]
+	opts  Options
+	flows *flowCache
+	view  atomic.Pointer[View]
 
 	mu    sync.Mutex
 	hosts map[string]*known
@@ -76,8 +77,8 @@
 
 // New returns a directory that knows no host.
 func New(o Options) *Directory {
-	d := &Directory{opts: o, hosts: map[string]*known{}, links: map[route.Link]time.Time{}, listed: map[string]bool{}}
-	d.view.Store(newView(o))
+	d := &Directory{opts: o, flows: &flowCache{flows: map[mapKey]cachedFlow{}}, hosts: map[string]*known{}, links: map[route.Link]time.Time{}, listed: map[string]bool{}}
+	d.view.Store(newView(o, d.flows))
 	return d
 }
 
@@ -212,7 +213,7 @@
 
 // publish makes a new view. The lock is held.
 func (d *Directory) publish(now time.Time) {
-	v := newView(d.opts)
+	v := newView(d.opts, d.flows)
 	for _, k := range d.hosts {
 		if k.host.Name != "" {
 			v.add(k, now, d.opts)
--- a/directory/view.go
+++ b/directory/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	Hosts []Standing
 
 	costs route.Costs
+	flows *flowCache
 	// links are the ways between endpoints to avoid.
 	links map[route.Link]bool
 	// maps holds a map for each model that a request asked for. It is the
@@ -43,8 +45,8 @@
 	Holding route.Holding `json:"holding"`
 }
 
-func newView(o Options) *View {
-	return &View{Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, links: map[route.Link]bool{}, costs: o.Costs}
+func newView(o Options, flows *flowCache) *View {
+	return &View{flows: flows, Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, links: map[route.Link]bool{}, costs: o.Costs}
 }
 
 func (v *View) add(k *known, now time.Time, o Options) {
@@ -83,27 +85,105 @@
 	slices.SortFunc(v.Hosts, func(a, b Standing) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// mapKey names one version of a model.
 type mapKey struct {
 	model, version string
 	layers         int
 }
 
-// Map returns the holdings of the model's version in use.
-func (v *View) Map(m rule.Model) *route.Map {
-	key := mapKey{model: m.Name, version: m.Version, layers: m.Layers}
+// Map returns the holdings of one version of a model.
+func (v *View) Map(model, version string, layers int) *route.Map {
+	key := mapKey{model: model, version: version, layers: layers}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	found, ok := v.maps[key]
 	if !ok {
-		found = route.NewMap(m.Name, m.Version, m.Layers, v.Holdings)
+		found = route.NewMap(model, version, layers, v.Holdings)
 		v.maps[key] = found
 	}
 	return found
 }
 
-// Plan returns a route for the model with the view's link costs.
+// Flow returns the routes of one version of a model that carry the most.
+func (v *View) Flow(model, version string, layers int) *route.Flow {
+	return v.flows.get(mapKey{model: model, version: version, layers: layers}, v.Map(model, version, layers), v.costs)
+}
+
+// enough is the share of another version's flow from which on the version that
+// the rules name is used.
+const enough = 0.5
+
+// Version returns the version of a model that new requests are to use. That is
+// the one that the rules name, once it carries enough; until then, the one
+// that carries the most.
+func (v *View) Version(m rule.Model) string {
+	own := v.Flow(m.Name, m.Version, m.Layers).Rate
+	best, most := m.Version, own
+	for _, other := range v.versions(m.Name) {
+		if rate := v.Flow(m.Name, other, m.Layers).Rate; rate > most {
+			best, most = other, rate
+		}
+	}
+	if own > 0 && own >= enough*most {
+		return m.Version
+	}
+	return best
+}
+
+// versions returns the versions of a model that some engine holds, in order.
+func (v *View) versions(model string) []string {
+	var all []string
+	for _, h := range v.Holdings {
+		if h.Model == model && !slices.Contains(all, h.Version) {
+			all = append(all, h.Version)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Draw returns the fastest of n routes that are drawn in proportion to the
+// flow, or nil if there is none. With fast set, the one that is fastest on idle
+// endpoints is among them. own tells how many requests this host has on an
+// endpoint.
+func (v *View) Draw(m rule.Model, n int, fast bool, own func(endpoint string) float64) *route.Route {
+	version := v.Version(m)
+	known := v.Map(m.Name, version, m.Layers)
+	flow := v.Flow(m.Name, version, m.Layers)
+	load := func(endpoint string) float64 { return known.Load(endpoint, own(endpoint)) }
+	var best *route.Route
+	var least time.Duration
+	consider := func(r *route.Route) {
+		if r == nil || v.suspectLink(r) {
+			return
+		}
+		if t := r.Expected(load); best == nil || t < least {
+			best, least = r, t
+		}
+	}
+	for range n {
+		consider(flow.Draw(rand.Float64()))
+	}
+	if fast {
+		consider(flow.Fastest)
+	}
+	return best
+}
+
+func (v *View) suspectLink(r *route.Route) bool {
+	if len(v.links) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.Links(), func(l route.Link) bool { return v.links[l] })
+}
+
+// Plan searches the best route for what a pick asks.
 func (v *View) Plan(m rule.Model, p route.Pick) (route.Route, error) {
-	known := v.Map(m)
+	version := p.Version
+	if version == "" {
+		version = v.Version(m)
+	}
+	known := v.Map(m.Name, version, m.Layers)
 	if len(v.links) == 0 {
 		return known.Plan(p, v.costs)
 	}
@@ -118,3 +198,34 @@
 	p.AvoidLinks = own
 	return known.Plan(p, v.costs)
 }
+
+// flowCache keeps flows from one view to the next, since most views differ in
+// loads alone. It is safe for concurrent use.
+type flowCache struct {
+	mu    sync.Mutex
+	flows map[mapKey]cachedFlow
+}
+
+type cachedFlow struct {
+	// known is the map that the flow was last asked for, and topology what
+	// it depends on.
+	known    *route.Map
+	topology uint64
+	flow     *route.Flow
+}
+
+func (c *flowCache) get(key mapKey, m *route.Map, costs route.Costs) *route.Flow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached, ok := c.flows[key]
+	if ok && cached.known == m {
+		return cached.flow
+	}
+	topology := m.Topology()
+	if !ok || cached.topology != topology {
+		cached = cachedFlow{topology: topology, flow: m.Flow(costs)}
+	}
+	cached.known = m
+	c.flows[key] = cached
+	return cached.flow
+}
--- /dev/null
+++ b/proof/throughput_bench_test.go
@@ -0,0 +1,98 @@
+package proof_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bulrushshed/caller"
+	"bulrushshed/jsonhttp"
+	"bulrushshed/route"
+)
+
+// unlike are pipelines of unlike accelerators, whose stages overlap.
+var unlike = []engineSpec{
+	{"fast-1", "a", "0-48", 500 * time.Microsecond},
+	{"fast-2", "a", "40-80", 500 * time.Microsecond},
+	{"mid-1", "b", "0-30", 750 * time.Microsecond},
+	{"mid-2", "b", "24-56", 750 * time.Microsecond},
+	{"mid-3", "b", "50-80", 750 * time.Microsecond},
+	{"slow-1", "c", "0-24", time.Millisecond},
+	{"slow-2", "c", "20-44", time.Millisecond},
+	{"slow-3", "c", "40-62", time.Millisecond},
+	{"slow-4", "c", "58-80", time.Millisecond},
+}
+
+const benchSlots = 8
+
+// bound is the greatest flow of a set of engines, in tokens a second.
+func bound(engines []engineSpec) float64 {
+	var holdings []route.Holding
+	for _, e := range engines {
+		h := route.Holding{LayerTime: e.layerTime, Slots: benchSlots}
+		if _, err := fmt.Sscanf(e.layers, "%d-%d", &h.Layers.From, &h.Layers.To); err != nil {
+			panic(err)
+		}
+		holdings = append(holdings, h)
+	}
+	return route.Bound(layers, holdings)
+}
+
+// BenchmarkThroughput keeps more streams open than the engines have slots, and
+// prints the tokens a second beside the bound of the hardware.
+func BenchmarkThroughput(b *testing.B) {
+	for _, objective := range []string{"throughput", "recovery"} {
+		b.Run(objective, func(b *testing.B) {
+			c := newCluster(b, 2, 1, unlike, "-slots", fmt.Sprint(benchSlots), "-slowdown", "0", "-stage-timeout", "10s")
+			c.publish(c.version, strings.Replace(rules, "objective=recovery", "objective="+objective, 1))
+			time.Sleep(2 * time.Second)
+			for b.Loop() {
+				rate := c.saturate(160, 5*time.Second)
+				b.ReportMetric(rate, "tokens/s")
+				b.ReportMetric(rate/bound(unlike), "of-bound")
+			}
+		})
+	}
+}
+
+// warmUp is the time before tokens are counted.
+const warmUp = 3 * time.Second
+
+// saturate keeps so many streams open, and returns the tokens a second of all
+// over a while in the middle.
+func (c *cluster) saturate(streams int, d time.Duration) float64 {
+	client := jsonhttp.NewClient(jsonhttp.DefaultOptions())
+	var tokens atomic.Int64
+	var all sync.WaitGroup
+	from := time.Now().Add(warmUp)
+	to := from.Add(d)
+	for n := range streams {
+		all.Go(func() {
+			for time.Now().Before(to) {
+				s, err := client.Open(c.t.Context(), jsonhttp.Request{
+					Method: http.MethodPost, URL: "http://" + c.caller(1+n%c.entries) + "/v1/completions", Timeout: patience,
+					Headers: map[string]string{caller.HeaderCustomer: "puebla"},
+					Body:    fmt.Appendf(nil, `{"model":"assistant","prompt":"p%d","max_tokens":50}`, n),
+				})
+				if err != nil {
+					continue
+				}
+				lines := bufio.NewScanner(s)
+				for lines.Scan() {
+					now := time.Now()
+					if strings.Contains(lines.Text(), `"text":"`) && now.After(from) && now.Before(to) {
+						tokens.Add(1)
+					}
+				}
+				s.Close()
+			}
+		})
+	}
+	all.Wait()
+	return float64(tokens.Load()) / d.Seconds()
+}
--- a/route/planner.go
+++ b/route/planner.go
@@ -1,9 +1,12 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Costs are the weights of a plan.
@@ -23,17 +26,20 @@
 	version  string
 	layers   int
 	holdings []Holding
+	// byName finds a holding by its endpoint.
+	byName map[string]int
 	// bounds are the layers at which a route may change endpoints, in order.
 	bounds []int
 }
 
 // NewMap keeps the holdings of one model version.
 func NewMap(model, version string, layers int, all []Holding) *Map {
-	m := &Map{model: model, version: version, layers: layers, bounds: []int{0, layers}}
+	m := &Map{model: model, version: version, layers: layers, byName: map[string]int{}, bounds: []int{0, layers}}
 	for _, h := range all {
 		if h.Model != model || h.Version != version || h.Layers.Len() <= 0 || h.Layers.To > layers || h.Layers.From < 0 {
 			continue
 		}
+		m.byName[h.Endpoint] = len(m.holdings)
 		m.holdings = append(m.holdings, h)
 		m.bounds = append(m.bounds, h.Layers.From, h.Layers.To)
 	}
@@ -42,6 +48,27 @@
 	return m
 }
 
+// Load returns how busy an endpoint is, as a share of its slots, if this host
+// has some requests of its own on it.
+func (m *Map) Load(endpoint string, own float64) float64 {
+	i, ok := m.byName[endpoint]
+	if !ok {
+		return 0
+	}
+	h := m.holdings[i]
+	return (h.Load + own) / float64(max(h.Slots, 1))
+}
+
+// Topology sums up all that the flow of the map depends on.
+func (m *Map) Topology() uint64 {
+	d := xxhash.New()
+	for _, h := range m.holdings {
+		// A hash never fails to write.
+		_, _ = fmt.Fprintln(d, h.Endpoint, h.Address, h.Incarnation, h.FailureDomain, h.Layers, h.LayerTime, h.Slots)
+	}
+	return d.Sum64()
+}
+
 // Holdings returns the holdings of the map; they must not be changed.
 func (m *Map) Holdings() []Holding { return m.holdings }
 
@@ -49,9 +76,11 @@
 type Pick struct {
 	// Avoid names endpoints that must not be used.
 	Avoid map[string]bool
-	// Extra is the number of own requests on an endpoint that its last
-	// report cannot have counted.
-	Extra map[string]int
+	// Extra is the number of own requests on an endpoint at a time, which
+	// its load leaves out.
+	Extra map[string]float64
+	// Version is the only model version that may be used; "" for any.
+	Version string
 	// AvoidLinks names pairs of endpoints that can't reach each other.
 	AvoidLinks map[Link]bool
 	// Cached are the layers for which endpoints hold the request's KV cache;
@@ -68,91 +97,63 @@
 	To   string `json:"to"`
 }
 
-// step is the cheapest known way to run all layers up to a bound with one
-// holding last.
-type step struct {
-	cost    time.Duration
-	reached bool
-	// from is the bound at which the last holding began.
-	from int
-	// before is the holding that ran the layers before, or -1.
-	before int
-}
-
 // Plan returns the route of the least expected time to the end. It fails with
 // KindNone when the holdings at hand leave a layer uncovered.
 //
-// The search is a shortest path over (bound, last holding): layers are run in
-// order, so every edge leads to a later bound and one pass over the bounds
-// settles all costs.
+// Of many endpoints that hold the same layers only the best few are searched,
+// so that the time does not grow with the fleet.
 func (m *Map) Plan(p Pick, c Costs) (Route, error) {
-	steps := make([][]step, len(m.bounds))
-	for b := range steps {
-		steps[b] = make([]step, len(m.holdings))
+	if len(m.holdings) > searchAll {
+		m = m.narrow(p, c)
 	}
-	for b := 1; b < len(m.bounds); b++ {
-		for i, h := range m.holdings {
-			if !p.Avoid[h.Endpoint] {
-				m.settle(steps, b, i, p, c)
-			}
-		}
-	}
-	last := cheapest(steps[len(m.bounds)-1])
-	if last < 0 {
+	r, ok := m.search(prices{
+		run: func(i int, layers Range) (float64, bool) {
+			h := m.holdings[i]
+			return float64(p.time(h, layers, c)), !p.Avoid[h.Endpoint]
+		},
+		link: func(i, j int) (float64, bool) {
+			from, to := m.holdings[i], m.holdings[j]
+			cost := c.link(from, to) * p.tokens()
+			return float64(cost), !p.AvoidLinks[Link{From: from.Endpoint, To: to.Endpoint}]
+		},
+	})
+	if !ok {
 		return Route{}, &Error{Op: "plan", Kind: KindNone, Reason: fmt.Sprintf(
 			"got no way through %d holdings of %s %s, want layers 0-%d", len(m.holdings), m.model, m.version, m.layers)}
 	}
-	r := m.trace(steps, last)
 	r.TokenTime = m.tokenTime(r, p, c)
-	if err := r.Check(m.layers); err != nil {
-		panic(err)
-	}
 	return r, nil
 }
 
-// settle finds the cheapest way to reach bound b with holding i last.
-func (m *Map) settle(steps [][]step, b, i int, p Pick, c Costs) {
-	h := m.holdings[i]
-	if h.Layers.To < m.bounds[b] {
-		return
-	}
-	for a := range b {
-		if m.bounds[a] < h.Layers.From {
-			continue
-		}
-		run := p.time(h, Range{From: m.bounds[a], To: m.bounds[b]}, c)
-		before, cost := m.enter(steps, a, i, p, c)
-		if before == unreachable {
-			continue
-		}
-		if s := &steps[b][i]; !s.reached || cost+run < s.cost {
-			*s = step{cost: cost + run, reached: true, from: a, before: before}
-		}
-	}
-}
-
 const (
-	start       = -1
-	unreachable = -2
+	// searchAll is the number of holdings up to which all are searched.
+	searchAll = 64
+	// searchEach is how many of those with the same layers are, beyond it.
+	searchEach = 3
 )
 
-// enter finds the cheapest way to hand over to holding i at bound a.
-func (m *Map) enter(steps [][]step, a, i int, p Pick, c Costs) (before int, cost time.Duration) {
-	if a == 0 {
-		return start, 0
-	}
-	before = unreachable
-	for j, s := range steps[a] {
-		if !s.reached || j == i || p.AvoidLinks[Link{From: m.holdings[j].Endpoint, To: m.holdings[i].Endpoint}] {
-			continue
+// narrow keeps the fastest few of the holdings of each range of layers, and all
+// that hold the request's KV cache.
+func (m *Map) narrow(p Pick, c Costs) *Map {
+	byRange := map[Range][]Holding{}
+	for _, h := range m.holdings {
+		if !p.Avoid[h.Endpoint] {
+			byRange[h.Layers] = append(byRange[h.Layers], h)
 		}
-		n := s.cost + c.link(m.holdings[j], m.holdings[i])*p.tokens()
-		if before == unreachable || n < cost {
-			before = j
-			cost = n
+	}
+	var kept []Holding
+	for layers, all := range byRange {
+		slices.SortFunc(all, func(a, b Holding) int {
+			return cmp.Or(cmp.Compare(p.time(a, layers, c), p.time(b, layers, c)), cmp.Compare(a.Endpoint, b.Endpoint))
+		})
+		for i, h := range all {
+			if _, cached := p.Cached[h.Endpoint]; cached || i < searchEach {
+				kept = append(kept, h)
+			}
 		}
 	}
-	return before, cost
+	slices.SortFunc(kept, func(a, b Holding) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return NewMap(m.model, m.version, m.layers, kept)
 }
 
 func (c Costs) link(from, to Holding) time.Duration {
@@ -162,12 +163,18 @@
 	return c.CrossDomain
 }
 
+// Fresh reports whether a pick asks for nothing in particular, so that any
+// route of the flow will do.
+func (p Pick) Fresh() bool {
+	return len(p.Avoid) == 0 && len(p.AvoidLinks) == 0 && len(p.Cached) == 0 && p.Version == ""
+}
+
 func (p Pick) tokens() time.Duration { return time.Duration(max(p.Tokens, 1)) }
 
 // time is the expected time of some layers on one endpoint for all tokens to
 // come, with the load that is known, and for the prefill that they need first.
 func (p Pick) time(h Holding, layers Range, c Costs) time.Duration {
-	load := float64(h.Load + p.Extra[h.Endpoint])
+	load := h.Load + p.Extra[h.Endpoint]
 	perLayer := float64(h.LayerTime) * (1 + load/float64(max(h.Slots, 1)))
 	work := float64(p.tokens()) * float64(layers.Len())
 	if !p.Cached[h.Endpoint].Covers(layers) {
@@ -176,23 +183,15 @@
 	return time.Duration(perLayer * work)
 }
 
-func cheapest(steps []step) int {
-	best := -1
-	for i, s := range steps {
-		if s.reached && (best < 0 || s.cost < steps[best].cost) {
-			best = i
-		}
-	}
-	return best
-}
-
-// tokenTime is the expected time of one token on a route.
+// tokenTime is the expected time of one token on a route; it also sets the
+// times of the hops.
 func (m *Map) tokenTime(r Route, p Pick, c Costs) time.Duration {
 	p.Tokens, p.Context = 1, 0
 	var sum time.Duration
 	var before Holding
 	for n, hop := range r.Hops {
-		i := slices.IndexFunc(m.holdings, func(h Holding) bool { return h.Endpoint == hop.Endpoint })
+		i := m.byName[hop.Endpoint]
+		r.Hops[n].Time = time.Duration(hop.Layers.Len()) * m.holdings[i].LayerTime
 		sum += p.time(m.holdings[i], hop.Layers, c)
 		if n > 0 {
 			sum += c.link(before, m.holdings[i])
@@ -201,19 +200,3 @@
 	}
 	return sum
 }
-
-// trace follows the settled steps back from the last holding.
-func (m *Map) trace(steps [][]step, last int) Route {
-	r := Route{Model: m.model, Version: m.version}
-	for b, i := len(m.bounds)-1, last; i != start; {
-		s := steps[b][i]
-		h := m.holdings[i]
-		r.Hops = append(r.Hops, Hop{
-			Endpoint: h.Endpoint, Address: h.Address, Incarnation: h.Incarnation,
-			Layers: Range{From: m.bounds[s.from], To: m.bounds[b]},
-		})
-		b, i = s.from, s.before
-	}
-	slices.Reverse(r.Hops)
-	return r
-}
--- a/route/planner_test.go
+++ b/route/planner_test.go
@@ -24,7 +24,7 @@
 			FailureDomain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
 			Layers:        route.Range{From: from, To: rapid.IntRange(from+1, layers).Draw(t, "to")},
 			LayerTime:     time.Duration(rapid.IntRange(1, 9).Draw(t, "time")) * 100 * time.Microsecond,
-			Slots:         1, Load: rapid.IntRange(0, 3).Draw(t, "load"),
+			Slots:         1, Load: float64(rapid.IntRange(0, 3).Draw(t, "load")),
 		})
 	}
 	return layers, holdings
@@ -45,7 +45,7 @@
 		if rest < 0 {
 			continue
 		}
-		cost := rest + time.Duration(float64(h.LayerTime)*(1+float64(h.Load)))
+		cost := rest + time.Duration(float64(h.LayerTime)*(1+h.Load))
 		if last >= 0 && last != i {
 			cost += link(holdings[last], h)
 		}
@@ -72,7 +72,7 @@
 	var sum time.Duration
 	for i, hop := range r.Hops {
 		h := byName[hop.Endpoint]
-		sum += time.Duration(float64(h.LayerTime)*(1+float64(h.Load))) * time.Duration(hop.Layers.Len())
+		sum += time.Duration(float64(h.LayerTime)*(1+h.Load)) * time.Duration(hop.Layers.Len())
 		if i > 0 {
 			sum += link(byName[r.Hops[i-1].Endpoint], h)
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -30,8 +30,8 @@
 	LayerTime time.Duration `json:"layer_time"`
 	// Slots is the number of sequences that the endpoint runs at a time.
 	Slots int `json:"slots"`
-	// Load is the number of sequences that it runs or queues now.
-	Load int `json:"load"`
+	// Load is the number of sequences that it runs or queues at a time.
+	Load float64 `json:"load"`
 }
 
 // Hop is one step of a route: an endpoint and the layers that it runs.
@@ -40,6 +40,8 @@
 	Address     string `json:"address"`
 	Incarnation int64  `json:"incarnation"`
 	Layers      Range  `json:"layers"`
+	// Time is the expected time of one token on the idle endpoint.
+	Time time.Duration `json:"-"`
 }
 
 // Route runs every layer of one model version once.
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -6,13 +6,12 @@
 	"time"
 )
 
-// slowdown is the share by which each further sequence slows a batch.
-const slowdown = 0.02
-
 // batch runs steps of many sequences at a time, up to its slots; a waiting
 // step of a higher priority goes first.
 type batch struct {
 	slots int
+	// slowdown is the share by which each further sequence slows a batch.
+	slowdown float64
 
 	mu      sync.Mutex
 	running int
@@ -27,7 +26,7 @@
 // step runs for the given time on an idle engine, and longer beside others.
 func (b *batch) step(priority int, idle time.Duration) {
 	n := b.enter(priority)
-	time.Sleep(time.Duration(float64(idle) * (1 + slowdown*float64(n-1))))
+	time.Sleep(time.Duration(float64(idle) * (1 + b.slowdown*float64(n-1))))
 	b.leave()
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -28,6 +28,8 @@
 	EventGap int
 	// ReportLag is the age of the load in a status.
 	ReportLag time.Duration
+	// Slowdown is the share by which each further sequence slows a batch.
+	Slowdown float64
 	// Fences makes the engine refuse orders with an old fencing number.
 	Fences bool
 	// StageTimeout bounds a call to the next stage.
@@ -71,7 +73,7 @@
 func NewEngine(o EngineOptions) *Engine {
 	return &Engine{
 		opts: o, holding: o.Holding,
-		batch:     batch{slots: o.Holding.Slots},
+		batch:     batch{slots: o.Holding.Slots, slowdown: o.Slowdown},
 		cache:     newPrefixCache(o.CacheBlocks, o.EventLag, o.EventGap),
 		next:      jsonhttp.NewClient(jsonhttp.DefaultOptions()),
 		sequences: map[string]sequence{},
@@ -157,7 +159,7 @@
 	if now.Sub(e.reportAt) >= e.opts.ReportLag {
 		e.reportAt = now
 		e.reported = engine.Status{Holding: e.holding, Kind: e.opts.Kind, Fence: e.fence}
-		e.reported.Holding.Load = e.batch.load()
+		e.reported.Holding.Load = float64(e.batch.load())
 	}
 	s := e.reported
 	s.Draining = e.draining
