Place layers and roll versions out, by orders under the lease

Cause: nobody told engines what to hold; a lost stage stayed lost. The holder now remembers its orders until a status shows them.

--- a/cmd/bulrushctl/load.go
+++ b/cmd/bulrushctl/load.go
@@ -17,6 +17,7 @@
 	opts       load.Options
 	seeds      string
 	customers  string
+	versions   string
 	executions string
 	json       bool
 }
@@ -39,6 +40,7 @@
 	f.IntVar(&c.opts.MaxTokens, "tokens", 20, "tokens of a completion")
 	f.DurationVar(&c.opts.Timeout, "timeout", 30*time.Second, "how long a caller waits")
 	f.IntVar(&c.opts.Layers, "layers", 0, "layers of a stand-in model, to check its tokens")
+	f.StringVar(&c.versions, "versions", "v1", "versions of a stand-in model that may answer, by comma")
 	f.StringVar(&c.customers, "customers", "puebla,toluca,mohacs", "customers, by comma")
 	f.StringVar(&c.executions, "executions", "", "addresses of stand-in services, to check what they ran")
 	f.Uint64Var(&c.opts.Seed, "seed", 1, "seed of the order of requests")
@@ -47,6 +49,7 @@
 
 func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	c.opts.Seeds = strings.Split(c.seeds, ",")
+	c.opts.Versions = strings.Split(c.versions, ",")
 	c.opts.Customers = strings.Split(c.customers, ",")
 	if c.executions != "" {
 		c.opts.Executions = strings.Split(c.executions, ",")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -84,6 +84,7 @@
 	f.StringVar(&e.layers, "layers", "0-80", "layers held, the last not included")
 	f.DurationVar(&h.LayerTime, "layer-time", 100*time.Microsecond, "time of one layer for one token")
 	f.IntVar(&h.Slots, "slots", 64, "sequences in a batch")
+	f.IntVar(&e.opts.MaxLayers, "max-layers", 0, "layers that it can hold; by default those of -layers")
 	f.StringVar(&e.opts.Kind, "kind", "mid", "kind of accelerator")
 	f.IntVar(&e.opts.CacheBlocks, "cache-blocks", 1024, "blocks of the prefix cache")
 	f.DurationVar(&e.opts.EventLag, "event-lag", time.Second, "how late cache events are")
@@ -97,9 +98,12 @@
 
 func (e *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	h := &e.opts.Holding
-	if _, err := fmt.Sscanf(e.layers, "%d-%d", &h.Layers.From, &h.Layers.To); err != nil || h.Layers.Len() <= 0 {
+	if _, err := fmt.Sscanf(e.layers, "%d-%d", &h.Layers.From, &h.Layers.To); err != nil || h.Layers.Len() < 0 {
 		return report(fmt.Errorf("-layers: got %q, want such as 0-40", e.layers))
 	}
+	if e.opts.MaxLayers == 0 {
+		e.opts.MaxLayers = h.Layers.Len()
+	}
 	h.Incarnation = time.Now().UnixMicro()
 	e.opts.Weights = e.platform
 	return report(standin.ServeNode(ctx, standin.NewEngine(e.opts), h.Address, e.platform))
--- /dev/null
+++ b/control/next_test.go
@@ -0,0 +1,181 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushshed/control"
+	"bulrushshed/route"
+	"bulrushshed/rule"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		// A run without a seed of its own repeats the last one.
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const layers = 20
+
+func model(version string) rule.Model {
+	return rule.Model{Name: "m", Version: version, Layers: layers}
+}
+
+// draw makes engines that hold nothing yet.
+func draw(t *rapid.T) []control.Engine {
+	var all []control.Engine
+	for i := range rapid.IntRange(2, 8).Draw(t, "engines") {
+		all = append(all, control.Engine{
+			Holding: route.Holding{
+				Endpoint: fmt.Sprintf("e%d", i), Slots: 8,
+				LayerTime: time.Duration(rapid.IntRange(1, 4).Draw(t, "time")) * 100 * time.Microsecond,
+			},
+			MaxLayers: rapid.SampledFrom([]int{5, 8, 10, 14, 20}).Draw(t, "layers"),
+		})
+	}
+	return all
+}
+
+// carry carries moves out at once.
+func carry(engines []control.Engine, moves []control.Move) {
+	for _, m := range moves {
+		for i := range engines {
+			if h := &engines[i].Holding; h.Endpoint == m.Endpoint {
+				h.Model, h.Version, h.Layers = m.Order.Model, m.Order.Version, m.Order.Layers
+			}
+		}
+	}
+}
+
+func holdings(engines []control.Engine, version string, but []control.Move) []route.Holding {
+	var all []route.Holding
+	for _, e := range engines {
+		moved := false
+		for _, m := range but {
+			moved = moved || m.Endpoint == e.Holding.Endpoint
+		}
+		if e.Holding.Version == version && !moved {
+			all = append(all, e.Holding)
+		}
+	}
+	return all
+}
+
+// naive is the twin: engines load one pipeline after another in their order.
+func naive(engines []control.Engine) []route.Holding {
+	var all []route.Holding
+	at := 0
+	for _, e := range engines {
+		h := e.Holding
+		h.Layers = route.Range{From: at, To: min(at+e.MaxLayers, layers)}
+		at = h.Layers.To % layers
+		all = append(all, h)
+	}
+	return all
+}
+
+const maxSteps = 100
+
+// settle lets moves happen until there are none, and returns how many.
+func settle(t *rapid.T, version string, engines []control.Engine, check func(moves []control.Move)) {
+	for range maxSteps {
+		moves := control.Next(model(version), engines, 2)
+		check(moves)
+		if len(moves) == 0 {
+			return
+		}
+		carry(engines, moves)
+	}
+	t.Fatalf("got no end of moves after %d steps", maxSteps)
+}
+
+// Placement ends, covers the model if the engines can hold it, and on the whole
+// carries more than loading in order.
+func TestPlacementAgainstNaiveOrder(t *testing.T) {
+	t.Parallel()
+	better, worse, planned, loaded := 0, 0, 0.0, 0.0
+	rapid.Check(t, func(t *rapid.T) {
+		engines := draw(t)
+		settle(t, "v1", engines, func([]control.Move) {})
+		got := route.Bound(layers, holdings(engines, "v1", nil))
+		twin := route.Bound(layers, naive(engines))
+		if got == 0 && twin > 0 {
+			t.Fatalf("got no flow, want some, as loading in order has %f", twin)
+		}
+		planned += got
+		loaded += twin
+		if got > twin*1.001 {
+			better++
+		}
+		if got < twin*0.999 {
+			worse++
+		}
+	})
+	t.Logf("flow %.2f of loading in order; better %d, worse %d", planned/loaded, better, worse)
+	if planned <= loaded {
+		t.Fatalf("got a flow of %f, want more than %f", planned, loaded)
+	}
+}
+
+// Whatever an order takes out of service, one version stays whole, and a
+// version that can be rolled out is.
+func TestARolloutNeverUncoversTheModel(t *testing.T) {
+	t.Parallel()
+	rolled, kept := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		engines := draw(t)
+		settle(t, "v1", engines, func([]control.Move) {})
+		if route.Bound(layers, holdings(engines, "v1", nil)) == 0 {
+			return
+		}
+		settle(t, "v2", engines, func(moves []control.Move) {
+			old := route.Bound(layers, holdings(engines, "v1", moves))
+			now := route.Bound(layers, holdings(engines, "v2", moves))
+			if old == 0 && now == 0 {
+				t.Fatalf("got no version whole during %v", moves)
+			}
+		})
+		if route.Bound(layers, holdings(engines, "v2", nil)) > 0 {
+			rolled++
+		} else {
+			kept++
+		}
+	})
+	t.Logf("rolled out %d, kept for want of engines %d", rolled, kept)
+	if rolled == 0 {
+		t.Fatal("got no rollout, want some")
+	}
+}
+
+// A lost engine's layers are taken over by one that can be spared.
+func TestALossIsRepaired(t *testing.T) {
+	t.Parallel()
+	repaired := 0
+	rapid.Check(t, func(t *rapid.T) {
+		engines := draw(t)
+		settle(t, "v1", engines, func([]control.Move) {})
+		lost := rapid.IntRange(0, len(engines)-1).Draw(t, "lost")
+		engines = append(engines[:lost], engines[lost+1:]...)
+		before := route.Bound(layers, holdings(engines, "v1", nil))
+		settle(t, "v1", engines, func([]control.Move) {})
+		after := route.Bound(layers, holdings(engines, "v1", nil))
+		if after < before*0.999 {
+			t.Fatalf("got flow %f, want at least %f", after, before)
+		}
+		if after > before {
+			repaired++
+		}
+	})
+	t.Logf("repaired %d", repaired)
+	if repaired == 0 {
+		t.Fatal("got no loss repaired, want some")
+	}
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"bulrushshed/control"
+	"bulrushshed/platform"
+	"bulrushshed/rule"
+)
+
+const (
+	// controlEvery is the time between two looks at what engines hold.
+	controlEvery = time.Second
+	// maxChanges is the number of engines of a model that change at a time.
+	maxChanges = 2
+	// orderLife is the longest that an order of an earlier holder of the
+	// lease can be under way. Engines that take any order get none from a
+	// new holder before.
+	orderLife = 5 * time.Second
+)
+
+// control gives engines the orders that the rules ask for, while this host
+// holds the lease.
+func (d *Daemon) control(context.Context) {
+	fence, ok := d.keeper.Holds(time.Now())
+	if !ok {
+		return
+	}
+	if fence != d.fence {
+		// What an earlier grant ordered shows in what engines report.
+		d.orders = control.NewTracker()
+		d.fence = fence
+		d.fenceAt = time.Now()
+	}
+	for _, m := range d.keeper.Current().File.Models {
+		if !m.Placed {
+			continue
+		}
+		engines, ok := d.orders.Known(d.placed(m), time.Now())
+		if !ok {
+			continue
+		}
+		for _, move := range control.Next(m, engines, maxChanges) {
+			d.order(move)
+		}
+	}
+}
+
+// placed returns the engines that an order for a model may concern. One that
+// takes any order is left alone until older orders can't be under way.
+func (d *Daemon) placed(m rule.Model) []control.Engine {
+	f := d.keeper.Current().File
+	settled := time.Since(d.fenceAt) > orderLife
+	var all []control.Engine
+	for _, h := range d.directory.View().Hosts {
+		if h.Role != platform.RoleEngine || h.Leaving || !h.Reporting || h.Suspected {
+			continue
+		}
+		if h.Holding.Model != "" && h.Holding.Model != m.Name {
+			continue
+		}
+		if !settled && !f.Endpoint(h.Name).Fences {
+			return nil
+		}
+		all = append(all, control.Engine{Holding: h.Holding, MaxLayers: h.MaxLayers, Changing: h.Changing})
+	}
+	return all
+}
+
+// order sends one order. The lease is checked right before, since this host
+// may have been paused up to here.
+func (d *Daemon) order(m control.Move) {
+	fence, ok := d.keeper.Holds(time.Now())
+	if !ok {
+		return
+	}
+	m.Order.Fence = fence
+	err := d.engines.Order(m.Address, m.Order)
+	log := d.log.With("endpoint", m.Endpoint, "fence", fence, "version", m.Order.Version,
+		"from", m.Order.Layers.From, "to", m.Order.Layers.To, "reason", m.Reason)
+	if err != nil {
+		log.Warn("control: order not taken", "cause", err.Error())
+		return
+	}
+	d.orders.Gave(m, time.Now())
+	log.Info("control: order given")
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"bulrushshed/balance"
 	"bulrushshed/caller"
 	"bulrushshed/claim"
+	"bulrushshed/control"
 	"bulrushshed/delivery"
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
@@ -54,6 +55,11 @@
 
 	// node is set by Run before anything uses it.
 	node *peer.Node
+	// fence is the last grant that this host held, since fenceAt, and orders
+	// are those given under it; the control loop alone uses them.
+	orders  *control.Tracker
+	fence   int64
+	fenceAt time.Time
 	// turn counts the turns of readStatuses, which alone uses it.
 	turn int
 	// wake makes a slow read of the log start at once.
@@ -185,6 +191,7 @@
 		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
 		d.keepJournal(ctx),
 		every(ctx, leasePoll, d.keepLease),
+		every(ctx, controlEvery, d.control),
 		every(ctx, d.cfg.Times.CheckpointEvery.D(), d.checkpoint),
 	}
 }
--- a/directory/view.go
+++ b/directory/view.go
@@ -41,8 +41,11 @@
 	Leaving   bool `json:"leaving"`
 	Suspected bool `json:"suspected"`
 	Reporting bool `json:"reporting"`
-	// Holding is what an engine holds, if it reports.
-	Holding route.Holding `json:"holding"`
+	// Holding is what an engine holds, if it reports; MaxLayers is how much
+	// it can, and Changing whether it carries out an order.
+	Holding   route.Holding `json:"holding"`
+	MaxLayers int           `json:"max_layers"`
+	Changing  bool          `json:"changing"`
 }
 
 func newView(o Options, flows *flowCache) *View {
@@ -56,6 +59,8 @@
 		Suspected: k.suspected(now),
 		Reporting: !k.statusAt.IsZero() && now.Sub(k.statusAt) <= o.StatusLife,
 		Holding:   k.status.Holding,
+		MaxLayers: k.status.MaxLayers,
+		Changing:  k.status.Changing,
 	}
 	v.Hosts = append(v.Hosts, s)
 	if s.Leaving || s.Suspected {
@@ -65,7 +70,7 @@
 	case platform.RoleEntry:
 		v.Entries = append(v.Entries, k.host)
 	case platform.RoleEngine:
-		if s.Reporting {
+		if s.Reporting && !k.status.Changing {
 			v.Holdings = append(v.Holdings, k.status.Holding)
 		}
 	case platform.RoleService:
--- a/engine/message.go
+++ b/engine/message.go
@@ -60,6 +60,11 @@
 	// Kind is the kind of accelerator.
 	Kind     string `json:"kind"`
 	Draining bool   `json:"draining"`
+	// MaxLayers is the number of layers that the engine can hold.
+	MaxLayers int `json:"max_layers"`
+	// Changing is set while the engine carries out an order and takes no new
+	// streams.
+	Changing bool `json:"changing"`
 	// Fence is the highest fencing number that the engine has seen.
 	Fence int64 `json:"fence"`
 }
--- a/load/driver.go
+++ b/load/driver.go
@@ -31,6 +31,8 @@
 	// Layers is the number of layers of a stand-in model, whose tokens are
 	// checked; 0 checks only their positions.
 	Layers int
+	// Versions are those of the stand-in model that may answer.
+	Versions []string
 	// Executions are the addresses of stand-in services that tell what
 	// they ran.
 	Executions []string
--- a/load/request.go
+++ b/load/request.go
@@ -138,11 +138,24 @@
 	}
 	wrong := ""
 	if s.whole && d.opts.Layers > 0 {
-		wrong = history.CheckStream(s.tokens, reference.Tokens(prompt, d.opts.Layers, d.opts.MaxTokens))
+		wrong = d.checkTokens(prompt, s.tokens)
 	}
 	d.tally.stream(s, sends, wrong, time.Since(intended))
 }
 
+// checkTokens returns what is wrong with an answer, all of whose tokens must
+// come from one version of the model.
+func (d *driver) checkTokens(prompt string, got []history.Token) string {
+	wrong := ""
+	for _, version := range d.opts.Versions {
+		wrong = history.CheckStream(got, reference.Tokens(version, prompt, d.opts.Layers, d.opts.MaxTokens))
+		if wrong == "" {
+			return ""
+		}
+	}
+	return wrong
+}
+
 func (d *driver) openStream(ctx context.Context, to, customer, prompt string, intended time.Time) *stream {
 	ctx, cancel := context.WithTimeout(ctx, d.opts.Timeout)
 	defer cancel()
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -340,7 +340,7 @@
 	o := load.Options{
 		Rate: rate, Duration: d, Calls: 0.6, Checks: 0.1, CallPath: "/dispatch/confirm", CheckPath: "/stock/pallets",
 		Model: "assistant", MaxTokens: 10, Customers: []string{"puebla", "toluca", "mohacs"},
-		Timeout: 20 * time.Second, Layers: layers, Seed: 1,
+		Timeout: 20 * time.Second, Layers: layers, Versions: []string{"v1"}, Seed: 1,
 	}
 	for n := 1; n <= c.entries; n++ {
 		o.Seeds = append(o.Seeds, c.caller(n))
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -57,7 +57,7 @@
 		is := is.New(t)
 		r := c.ask(1, http.MethodPost, "/v1/completions", `{"model":"assistant","prompt":"rota","max_tokens":5,"stream":false}`, nil)
 		is.Equal(r.Status, http.StatusOK)
-		is.True(strings.Contains(string(r.Body), strings.Join(reference.Tokens("rota", layers, 5), "")))
+		is.True(strings.Contains(string(r.Body), strings.Join(reference.Tokens("v1", "rota", layers, 5), "")))
 	})
 	t.Run("a stream ends with its mark", func(t *testing.T) {
 		is := is.New(t)
--- a/proof/throughput_bench_test.go
+++ b/proof/throughput_bench_test.go
@@ -52,7 +52,7 @@
 			c.publish(c.version, strings.Replace(rules, "objective=recovery", "objective="+objective, 1))
 			time.Sleep(2 * time.Second)
 			for b.Loop() {
-				rate := c.saturate(160, 5*time.Second)
+				rate := c.saturate(240, 5*time.Second)
 				b.ReportMetric(rate, "tokens/s")
 				b.ReportMetric(rate/bound(unlike), "of-bound")
 			}
--- a/reference/token.go
+++ b/reference/token.go
@@ -8,9 +8,9 @@
 )
 
 // Seed is the state of a token before its first layer. It depends on the
-// prompt, the position and the token before.
-func Seed(prompt string, position int, before string) uint64 {
-	return xxhash.Sum64String(prompt + "\x00" + strconv.Itoa(position) + "\x00" + before)
+// version of the model, the prompt, the position and the token before.
+func Seed(version, prompt string, position int, before string) uint64 {
+	return xxhash.Sum64String(version + "\x00" + prompt + "\x00" + strconv.Itoa(position) + "\x00" + before)
 }
 
 // Layer runs one layer. Skipping, repeating or swapping a layer changes every
@@ -24,11 +24,11 @@
 
 // Tokens returns the n tokens that a model of so many layers must answer with,
 // each of which depends on every layer run once, in order.
-func Tokens(prompt string, layers, n int) []string {
+func Tokens(version, prompt string, layers, n int) []string {
 	tokens := make([]string, 0, n)
 	before := ""
 	for position := range n {
-		state := Seed(prompt, position, before)
+		state := Seed(version, prompt, position, before)
 		for l := range layers {
 			state = Layer(state, l)
 		}
--- a/rule/file.go
+++ b/rule/file.go
@@ -57,7 +57,9 @@
 	Layers    int           `json:"layers"`
 	Objective Objective     `json:"objective"`
 	Deadline  time.Duration `json:"deadline"`
-	Origin    Origin        `json:"origin"`
+	// Placed is whether the system decides which layers engines hold.
+	Placed bool   `json:"placed"`
+	Origin Origin `json:"origin"`
 }
 
 // Endpoint says what an endpoint, or all that share a name prefix, can be
--- a/rule/verb.go
+++ b/rule/verb.go
@@ -66,7 +66,7 @@
 	},
 	"model": {
 		keys: map[string]reader{
-			"name": name, "version": name, "layers": layers, "objective": objective, "deadline": deadline,
+			"name": name, "version": name, "layers": layers, "objective": objective, "deadline": deadline, "placement": placement,
 		},
 		required: []string{"name", "version", "layers", "objective"},
 		add:      addModel,
@@ -99,7 +99,8 @@
 func addModel(f *File, s settings, origin Origin) {
 	m := Model{
 		Name: s.text("name"), Version: s.text("version"), Layers: int(s.number("layers")),
-		Objective: Objective(s.text("objective")), Deadline: s.time("deadline"), Origin: origin,
+		Objective: Objective(s.text("objective")), Deadline: s.time("deadline"),
+		Placed: s.yes("placement"), Origin: origin,
 	}
 	if m.Deadline == 0 {
 		m.Deadline = defaultModelDeadline
@@ -159,6 +160,14 @@
 	return value{yes: text == "yes"}, ""
 }
 
+func placement(text string) (value, string) {
+	names := []string{"auto", "manual"}
+	if !slices.Contains(names, text) {
+		return value{}, unknown("placement", text, names)
+	}
+	return value{yes: text == "auto"}, ""
+}
+
 func deadline(text string) (value, string) {
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 || d > maxDeadline {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -20,6 +20,8 @@
 	Holding route.Holding
 	// Kind is the kind of accelerator.
 	Kind string
+	// MaxLayers is the number of layers that the engine can hold.
+	MaxLayers int
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int
 	// EventLag is how late cache events are published; of every EventGap
@@ -50,6 +52,7 @@
 	// holding changes by orders only.
 	holding  route.Holding
 	draining bool
+	changing bool
 	fence    int64
 	// sequences holds the KV cache of each request that runs here.
 	sequences map[string]sequence
@@ -158,11 +161,12 @@
 	defer e.mu.Unlock()
 	if now.Sub(e.reportAt) >= e.opts.ReportLag {
 		e.reportAt = now
-		e.reported = engine.Status{Holding: e.holding, Kind: e.opts.Kind, Fence: e.fence}
+		e.reported = engine.Status{Holding: e.holding, Kind: e.opts.Kind, MaxLayers: e.opts.MaxLayers, Fence: e.fence}
 		e.reported.Holding.Load = float64(e.batch.load())
 	}
 	s := e.reported
 	s.Draining = e.draining
+	s.Changing = e.changing
 	return s
 }
 
--- a/standin/order.go
+++ b/standin/order.go
@@ -17,38 +17,70 @@
 	At time.Time `json:"at"`
 }
 
+const (
+	// changeLag is how long a changing engine serves on, so that all entry
+	// hosts have learnt that it changes.
+	changeLag = 2500 * time.Millisecond
+	// changeIdle is the time without a step after which a sequence has
+	// ended, and changeMax the bound on the wait for that.
+	changeIdle = 500 * time.Millisecond
+	changeMax  = 20 * time.Second
+)
+
+// serveOrder takes an order and carries it out behind the answer.
 func (e *Engine) serveOrder(c fiber.Ctx) error {
 	var o engine.Order
 	if err := c.Bind().JSON(&o); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
-	if !e.takeFence(o.Fence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.opts.Fences && o.Fence < e.fence:
 		return notRun(c, fiber.StatusConflict, "old fencing number")
+	case o.Layers.Len() > e.opts.MaxLayers:
+		return notRun(c, fiber.StatusConflict, "too many layers")
+	case e.changing:
+		return notRun(c, fiber.StatusConflict, "changing already")
 	}
-	if err := e.fetchWeights(o); err != nil {
-		return c.Status(fiber.StatusBadGateway).SendString(err.Error())
+	e.fence = max(e.fence, o.Fence)
+	e.changing = true
+	go e.change(o)
+	return c.SendStatus(fiber.StatusAccepted)
+}
+
+// change waits for the streams that run here, fetches the weights and then
+// holds what the order says, unless a newer holder of the lease has spoken.
+func (e *Engine) change(o engine.Order) {
+	time.Sleep(changeLag)
+	for start := time.Now(); e.stepped(changeIdle) && time.Since(start) < changeMax; {
+		time.Sleep(drainPoll)
 	}
+	err := e.fetchWeights(o)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.opts.Fences && o.Fence < e.fence {
-		return notRun(c, fiber.StatusConflict, "old fencing number")
+	e.changing = false
+	e.reportAt = time.Time{}
+	if err != nil || e.opts.Fences && o.Fence < e.fence {
+		return
 	}
 	e.holding.Model = o.Model
 	e.holding.Version = o.Version
 	e.holding.Layers = o.Layers
+	clear(e.sequences)
 	e.orders = append(e.orders, OrderRecord{Order: o, At: time.Now()})
-	return c.SendStatus(fiber.StatusNoContent)
 }
 
-// takeFence notes a fencing number and reports whether its order may run.
-func (e *Engine) takeFence(fence int64) bool {
+// stepped reports whether a sequence made a step within a time.
+func (e *Engine) stepped(within time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.opts.Fences && fence < e.fence {
-		return false
+	for _, s := range e.sequences {
+		if time.Since(s.used) < within {
+			return true
+		}
 	}
-	e.fence = max(e.fence, fence)
-	return true
+	return false
 }
 
 func (e *Engine) fetchWeights(o engine.Order) error {
