Admit by deadline and fair share, hedge checks, share limits by demand

Cause: all requests went to the engines at once; a customer's limit counted on each host by itself; a slow stock check waited for its one replica. Change: a request takes a place of its model, of which each host has its part of what the engines can use, or waits by priority and fair queueing, or is refused at once if its deadline can't be met. One host per customer hands out parts of its limit by demand, never more than the whole. Idempotent calls race a second replica when slower than 95 in 100, repeats are within a budget, and the loser is cancelled.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -8,59 +9,105 @@
 	"bulrushshed/rule"
 )
 
-// Gate admits requests; it is safe for concurrent use.
+// Gate admits requests to the pools of this host; it is safe for concurrent
+// use. Its lock is held for no wait.
 type Gate struct {
-	places int
-
 	mu      sync.Mutex
-	taken   int
-	present int
+	pools   map[string]*Queue
 	buckets map[string]*bucket
+	// shares are the parts of customers' limits that this host has; a
+	// customer without one has all of it.
+	shares  map[string]float64
+	present int
 	closed  bool
 }
 
-// bucket holds a customer's tokens as of a time.
+// bucket holds a customer's tokens as of a time, and counts its requests.
 type bucket struct {
 	tokens float64
 	at     time.Time
+	asked  int
 }
 
-// NewGate returns a gate with a number of places.
-func NewGate(places int) *Gate {
-	return &Gate{places: places, buckets: map[string]*bucket{}}
+// NewGate returns a gate without pools.
+func NewGate() *Gate {
+	return &Gate{pools: map[string]*Queue{}, buckets: map[string]*bucket{}, shares: map[string]float64{}}
 }
 
-// Enter takes a token of the customer and a place, which the caller gives
-// back by Leave. The error is an *outcome.Error of kind NotRun.
-func (g *Gate) Enter(customer string, f *rule.File, now time.Time) error {
+// Size sets the number of places of a pool.
+func (g *Gate) Size(pool string, places int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
-		return refuse(outcome.CauseStopping, "this host is stopping", time.Millisecond)
+	if q, ok := g.pools[pool]; ok {
+		q.Resize(places, now)
+		return
 	}
-	if g.taken >= g.places {
-		return refuse(outcome.CauseBusy, "this host has no place left", time.Second)
+	g.pools[pool] = NewQueue(places)
+}
+
+// Enter waits for a place in a pool, which is given back by leave. The error is
+// an *outcome.Error of kind NotRun.
+func (g *Gate) Enter(ctx context.Context, pool string, a Ask, f *rule.File, now time.Time) (leave func(), err error) {
+	t, err := g.ask(pool, a, f, now)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-t.Ready():
+	case <-ctx.Done():
+		g.abandon(pool, t)
+		return nil, refuse(outcome.CauseDeadline, "the deadline passed, or the caller left, before there was a place", 0)
+	}
+	if !t.Admitted() {
+		return nil, refuse(outcome.CauseDeadline, "no place came up in time", time.Second)
+	}
+	return sync.OnceFunc(func() { g.leave(pool) }), nil
+}
+
+func (g *Gate) ask(pool string, a Ask, f *rule.File, now time.Time) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil, refuse(outcome.CauseStopping, "this host is stopping", time.Millisecond)
 	}
-	if l, ok := f.Limit(customer); ok && !g.take(l, now) {
+	if l, ok := f.Limit(a.Customer); ok && !g.take(l, now) {
 		wait := time.Duration(float64(time.Second) / l.Rate)
-		return refuse(outcome.CauseLimit, "customer "+customer+" is over its limit", wait)
+		return nil, refuse(outcome.CauseLimit, "customer "+a.Customer+" is over its limit", wait)
 	}
-	g.taken++
-	return nil
+	q, ok := g.pools[pool]
+	if !ok {
+		// The pool is new; its size follows soon.
+		q = NewQueue(1)
+		g.pools[pool] = q
+	}
+	t, ok := q.Enter(a, now)
+	if !ok {
+		return nil, refuse(outcome.CauseDeadline, "the deadline can't be met now", q.Wait())
+	}
+	return t, nil
 }
 
-// Leave gives a place back.
-func (g *Gate) Leave() {
+func (g *Gate) abandon(pool string, t *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.taken--
+	g.pools[pool].Abandon(t, time.Now())
 }
 
-// Close refuses all from now on.
-func (g *Gate) Close() {
+func (g *Gate) leave(pool string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = true
+	g.pools[pool].Leave(time.Now())
+}
+
+// Waiting returns the number of requests that wait for a place.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, q := range g.pools {
+		n += q.Waiting()
+	}
+	return n
 }
 
 // Arrive counts a request on this host, whether or not it gets a place, until
@@ -83,13 +130,47 @@
 	return g.present
 }
 
+// Close refuses all from now on.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// Share sets the part of a customer's limit that this host has, from 0 to 1.
+func (g *Gate) Share(customer string, part float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares[customer] = part
+}
+
+// Demand returns how many requests each limited customer has made since the
+// last call, refused ones included.
+func (g *Gate) Demand() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	demand := map[string]int{}
+	for customer, b := range g.buckets {
+		if b.asked > 0 {
+			demand[customer] = b.asked
+			b.asked = 0
+		}
+	}
+	return demand
+}
+
 func (g *Gate) take(l rule.Limit, now time.Time) bool {
+	part, ok := g.shares[l.Customer]
+	if !ok {
+		part = 1
+	}
 	b, ok := g.buckets[l.Customer]
 	if !ok {
-		b = &bucket{tokens: l.Burst, at: now}
+		b = &bucket{tokens: l.Burst * part, at: now}
 		g.buckets[l.Customer] = b
 	}
-	b.tokens = min(l.Burst, b.tokens+l.Rate*now.Sub(b.at).Seconds())
+	b.asked++
+	b.tokens = min(max(l.Burst*part, 1), b.tokens+l.Rate*part*now.Sub(b.at).Seconds())
 	b.at = now
 	if b.tokens < 1 {
 		return false
--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,216 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Ask is a request that wants a place.
+type Ask struct {
+	Customer string
+	// Priority orders asks; a higher one goes first.
+	Priority int
+	// Weight is the share of places that a customer gets beside others; 0
+	// counts as 1.
+	Weight float64
+	// Service is how long the request is expected to hold its place.
+	Service  time.Duration
+	Deadline time.Time
+}
+
+// Ticket is an ask that waits or has a place.
+type Ticket struct {
+	ask Ask
+	// start and finish are in virtual time: the service that a customer with
+	// weight 1 had so far.
+	start, finish float64
+	// seq keeps the order of asks that are equal otherwise.
+	seq int64
+	// index is the place in the heap, or -1.
+	index int
+	// ready is closed once the ticket is settled; admitted says how.
+	ready    chan struct{}
+	admitted bool
+}
+
+// Ready is closed once the ticket has a place or is refused.
+func (t *Ticket) Ready() <-chan struct{} { return t.ready }
+
+// Admitted reports whether the ticket has a place; call it only once Ready is
+// closed.
+func (t *Ticket) Admitted() bool { return t.admitted }
+
+// Queue hands out places. It is not safe for concurrent use.
+type Queue struct {
+	places int
+	taken  int
+	seq    int64
+	// waiting are the tickets without a place, the next one first.
+	waiting ticketHeap
+	// virtual is the start of the ticket that last got a place.
+	virtual float64
+	// finished is the finish of each customer's last ticket.
+	finished map[string]float64
+	// backlog is the sum of the service of all that wait.
+	backlog time.Duration
+}
+
+// NewQueue returns a queue with a number of places.
+func NewQueue(places int) *Queue {
+	return &Queue{places: places, finished: map[string]float64{}}
+}
+
+// Resize changes the number of places. Nobody who has one loses it.
+func (q *Queue) Resize(places int, now time.Time) {
+	q.places = places
+	q.fill(now)
+}
+
+// Wait is the expected wait of a request that came now.
+func (q *Queue) Wait() time.Duration {
+	if q.taken < q.places {
+		return 0
+	}
+	return q.backlog / time.Duration(max(q.places, 1))
+}
+
+// Enter takes a place or a ticket; ok is false if the deadline can't be met.
+func (q *Queue) Enter(a Ask, now time.Time) (t *Ticket, ok bool) {
+	if q.places <= 0 || now.Add(q.ahead(a)+a.Service).After(a.Deadline) {
+		return nil, false
+	}
+	t = q.ticket(a)
+	if q.taken < q.places && len(q.waiting) == 0 {
+		q.admit(t)
+		return t, true
+	}
+	heap.Push(&q.waiting, t)
+	q.backlog += a.Service
+	return t, true
+}
+
+// ahead is the expected wait of an ask: of those that wait, only some go first.
+func (q *Queue) ahead(a Ask) time.Duration {
+	if q.taken < q.places {
+		return 0
+	}
+	start := q.startOf(a)
+	var sum time.Duration
+	for _, t := range q.waiting {
+		if t.ask.Priority > a.Priority || t.ask.Priority == a.Priority && t.start <= start {
+			sum += t.ask.Service
+		}
+	}
+	return sum / time.Duration(q.places)
+}
+
+func (q *Queue) startOf(a Ask) float64 { return max(q.virtual, q.finished[a.Customer]) }
+
+func (q *Queue) ticket(a Ask) *Ticket {
+	if a.Weight <= 0 {
+		a.Weight = 1
+	}
+	q.seq++
+	start := q.startOf(a)
+	t := &Ticket{ask: a, start: start, finish: start + a.Service.Seconds()/a.Weight, seq: q.seq, index: -1, ready: make(chan struct{})}
+	q.finished[a.Customer] = t.finish
+	return t
+}
+
+func (q *Queue) admit(t *Ticket) {
+	q.taken++
+	q.virtual = max(q.virtual, t.start)
+	t.admitted = true
+	close(t.ready)
+}
+
+// Leave gives a place back.
+func (q *Queue) Leave(now time.Time) {
+	q.taken--
+	q.fill(now)
+}
+
+// Abandon takes a ticket out of the queue; if it has got a place meanwhile, the
+// place is given back.
+func (q *Queue) Abandon(t *Ticket, now time.Time) {
+	switch {
+	case t.index >= 0:
+		heap.Remove(&q.waiting, t.index)
+		q.backlog -= t.ask.Service
+		close(t.ready)
+	case t.admitted:
+		q.Leave(now)
+	}
+}
+
+// fill hands free places to those that wait, and refuses those that waited for
+// too long to be served in time.
+func (q *Queue) fill(now time.Time) {
+	for q.taken < q.places && len(q.waiting) > 0 {
+		t, ok := heap.Pop(&q.waiting).(*Ticket)
+		if !ok {
+			panic("admit: the heap holds tickets only")
+		}
+		q.backlog -= t.ask.Service
+		if now.Add(t.ask.Service).After(t.ask.Deadline) {
+			close(t.ready)
+			continue
+		}
+		q.admit(t)
+	}
+	if len(q.waiting) == 0 && q.taken == 0 {
+		// Nobody is owed anything.
+		clear(q.finished)
+		q.virtual = 0
+	}
+}
+
+// Waiting returns the number of tickets without a place.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// ticketHeap orders tickets by priority, and then by start.
+type ticketHeap []*Ticket
+
+var _ heap.Interface = (*ticketHeap)(nil)
+
+// Len is part of heap.Interface.
+func (h ticketHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h ticketHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.ask.Priority != b.ask.Priority {
+		return a.ask.Priority > b.ask.Priority
+	}
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.seq < b.seq
+}
+
+// Swap is part of heap.Interface.
+func (h ticketHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push is part of heap.Interface.
+func (h *ticketHeap) Push(x any) {
+	t, ok := x.(*Ticket)
+	if !ok {
+		panic("admit: the heap holds tickets only")
+	}
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop is part of heap.Interface.
+func (h *ticketHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.index = -1
+	return t
+}
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -96,9 +96,6 @@
 	if in.customer == "" {
 		return s.refuse(c, in, invalid(HeaderCustomer, "got no customer, want its name"))
 	}
-	if err := s.gate.Enter(in.customer, f, in.start); err != nil {
-		return s.refuse(c, in, err)
-	}
 	r := s.start(in, body, model, s.gate.Arrive())
 	c.Set(HeaderRequestID, in.id)
 	if body.Stream != nil && !*body.Stream {
@@ -125,7 +122,7 @@
 	return body, model, nil
 }
 
-// start runs a completion; its place at the gate is given back at its end.
+// start waits for a place at the gate and runs a completion.
 func (s *Server) start(in call, body completionRequest, model rule.Model, depart func()) *running {
 	ctx, cancel := context.WithCancel(s.base)
 	r := &running{in: in, model: model.Name, cancel: cancel, depart: depart, tokens: make(chan token, tokenBuffer), done: make(chan error, 1)}
@@ -134,15 +131,25 @@
 		MaxTokens: body.MaxTokens, Deadline: in.start.Add(model.Deadline),
 	}
 	go func() {
-		defer s.gate.Leave()
 		defer cancel()
-		err := s.completer.Run(ctx, req, channelSink{ctx: ctx, tokens: r.tokens})
+		err := s.run(ctx, req, channelSink{ctx: ctx, tokens: r.tokens})
 		close(r.tokens)
 		r.done <- err
 	}()
 	return r
 }
 
+func (s *Server) run(ctx context.Context, req completion.Request, sink completion.Sink) error {
+	bounded, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	leave, err := s.gate.Enter(bounded, req)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return s.completer.Run(ctx, req, sink)
+}
+
 // whole gathers the answer and sends it at once.
 func (s *Server) whole(c fiber.Ctx, r *running) error {
 	defer r.depart()
--- a/caller/server.go
+++ b/caller/server.go
@@ -43,9 +43,9 @@
 type Gate interface {
 	// Arrive counts a request until depart is called.
 	Arrive() (depart func())
-	// Enter takes a place, which is given back by Leave.
-	Enter(customer string, f *rule.File, now time.Time) error
-	Leave()
+	// Enter waits for a place of a model, which leave gives back; the error
+	// is an *outcome.Error of kind NotRun.
+	Enter(ctx context.Context, r completion.Request) (leave func(), err error)
 }
 
 // Rules returns the rule file in force.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,6 +45,7 @@
 	items     *gossip.Table
 	inflight  *balance.Inflight
 	gate      *admit.Gate
+	broker    *admit.Broker
 	meter     *meter.Meter
 	platform  *platformhttp.Client
 	engines   *enginehttp.Client
@@ -60,6 +61,9 @@
 	orders  *control.Tracker
 	fence   int64
 	fenceAt time.Time
+	// asked is when each limited customer last had demand here; the loop of
+	// shareLimits alone uses it.
+	asked map[string]time.Time
 	// turn counts the turns of readStatuses, which alone uses it.
 	turn int
 	// wake makes a slow read of the log start at once.
@@ -191,6 +195,8 @@
 		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
 		d.keepJournal(ctx),
 		every(ctx, leasePoll, d.keepLease),
+		every(ctx, d.cfg.Times.HostsEvery.D(), d.sizePools),
+		every(ctx, shareEvery, d.shareLimits),
 		every(ctx, controlEvery, d.control),
 		every(ctx, d.cfg.Times.CheckpointEvery.D(), d.checkpoint),
 	}
--- a/daemon/home.go
+++ b/daemon/home.go
@@ -65,6 +65,8 @@
 		return d.handleForward(ctx, *m.Forward)
 	case m.Kind == peer.KindExchange && m.Exchange != nil:
 		return peer.Reply{Exchange: d.answerExchange(ctx, *m.Exchange)}
+	case m.Kind == peer.KindDemand && m.Demand != nil:
+		return peer.Reply{Shares: d.grant(m.Demand)}
 	case m.Kind == peer.KindRules:
 		s, delta := d.keeper.Since(m.Have)
 		return peer.Reply{Rules: &peer.Rules{Snapshot: s, Delta: delta}}
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -149,16 +149,3 @@
 	}
 	return ran
 }
-
-// gate admits calls by the rules in force.
-type gate struct{ d *Daemon }
-
-var _ delivery.Gate = gate{}
-
-// Enter takes a place for a call.
-func (g gate) Enter(customer string, now time.Time) error {
-	return g.d.gate.Enter(customer, g.d.keeper.Current().File, now)
-}
-
-// Leave gives the place back.
-func (g gate) Leave() { g.d.gate.Leave() }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -106,7 +106,9 @@
 		items:    gossip.NewTable(gossip.Options{Self: cfg.Name, MaxBytes: gossipBytes, Redundancy: gossipRedundancy}),
 		inflight: balance.NewInflight(),
 		wake:     make(chan struct{}, 1),
-		gate:     admit.NewGate(cfg.Limits.Streams + cfg.Limits.Calls),
+		gate:     admit.NewGate(),
+		broker:   admit.NewBroker(shareLife),
+		asked:    map[string]time.Time{},
 		meter:    meter.New(maxCustomers, maxClasses),
 		platform: platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 		engines:  enginehttp.NewClient(t.Peer.D()),
@@ -146,7 +148,7 @@
 		Self: d.self, Attempts: d.cfg.Limits.Attempts, PickWait: d.cfg.Times.RouteWait.D(),
 	}, delivery.Parts{
 		Services: servicehttp.NewClient(), Replicas: planner{d}, Homes: homes{d}, Table: d.claims,
-		Journal: d.journal, Past: past{d}, Gate: gate{d}, Counter: d.meter, Log: d.log,
+		Journal: d.journal, Past: past{d}, Gate: callGate{d}, Counter: d.meter, Log: d.log,
 	})
 	d.deliverer = x
 	return x, nil
@@ -161,5 +163,5 @@
 	return caller.NewServer(ctx, caller.Options{
 		BodyBytes: l.BodyBytes, PromptBytes: l.PromptBytes, Tokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
 		EntriesValid: t.EntriesValid.D(), Read: t.Read.D(), Write: t.Write.D(), HeadWait: headWait,
-	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), d.gate, d.keeper, planner{d}, d.meter, d.log), nil
+	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), streamGate{d.gate, d}, d.keeper, planner{d}, d.meter, d.log), nil
 }
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -36,10 +36,8 @@
 
 // Services sends calls.
 type Services interface {
-	// Send makes a call that must not be repeated.
+	// Send makes a call once; ending ctx gives it up.
 	Send(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
-	// SendIdempotent makes a call that may be repeated.
-	SendIdempotent(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
 }
 
 // Replica is one endpoint of a service.
@@ -83,14 +81,15 @@
 
 // Gate admits calls.
 type Gate interface {
-	// Enter takes a place; the error is an *outcome.Error of kind NotRun.
-	Enter(customer string, now time.Time) error
-	Leave()
+	// Enter waits for a place, which leave gives back; the error is an
+	// *outcome.Error of kind NotRun.
+	Enter(ctx context.Context, r Request) (leave func(), err error)
 }
 
 // Counter counts what went other than planned.
 type Counter interface {
 	Retried(class string)
+	Hedged(class string)
 }
 
 // Options bound a deliverer.
@@ -106,7 +105,8 @@
 // Deliverer answers calls; it is safe for concurrent use.
 type Deliverer struct {
 	Parts
-	opts Options
+	opts    Options
+	classes classes
 }
 
 // Parts are what a deliverer works with.
@@ -124,7 +124,7 @@
 
 // New returns a deliverer.
 func New(o Options, p Parts) *Deliverer {
-	return &Deliverer{opts: o, Parts: p}
+	return &Deliverer{opts: o, Parts: p, classes: classes{all: map[string]*class{}}}
 }
 
 // Deliver answers a call. The error is an *outcome.Error.
@@ -152,13 +152,14 @@
 }
 
 func (d *Deliverer) idempotent(ctx context.Context, r Request) (outcome.Answer, error) {
-	if err := d.Gate.Enter(r.Customer, time.Now()); err != nil {
-		return outcome.Answer{}, err
-	}
-	defer d.Gate.Leave()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return d.try(ctx, r, d.Services.SendIdempotent)
+	leave, err := d.Gate.Enter(ctx, r)
+	if err != nil {
+		return outcome.Answer{}, err
+	}
+	defer leave()
+	return d.race(ctx, r)
 }
 
 // elsewhere passes a call on to the home of its key. If that does not answer,
@@ -232,11 +233,12 @@
 }
 
 func (d *Deliverer) admitted(ctx context.Context, r Request) (outcome.Answer, error) {
-	if err := d.Gate.Enter(r.Customer, time.Now()); err != nil {
+	leave, err := d.Gate.Enter(ctx, r)
+	if err != nil {
 		return outcome.Answer{}, err
 	}
-	defer d.Gate.Leave()
-	return d.try(ctx, r, d.Services.Send)
+	defer leave()
+	return d.try(ctx, r)
 }
 
 func (d *Deliverer) await(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
@@ -254,17 +256,14 @@
 	return result.Answer, nil
 }
 
-type send func(ctx context.Context, address string, call service.Call) (outcome.Answer, error)
-
 // firstServerError is the lowest status by which a service says that it
 // failed.
 const firstServerError = 500
 
-// try sends a call to one replica after another. It goes on only if the last
-// one surely did not run it, or if the call is idempotent.
-func (d *Deliverer) try(ctx context.Context, r Request, send send) (outcome.Answer, error) {
-	var last error
-	var failed *outcome.Answer
+// try sends a non-idempotent call to one replica after another, for as long as
+// the last one surely did not run it.
+func (d *Deliverer) try(ctx context.Context, r Request) (outcome.Answer, error) {
+	last := noReplica(r.Class.Service)
 	tried := map[string]bool{}
 	for n := range d.opts.Attempts {
 		replica, release, ok := d.pick(ctx, r, tried)
@@ -272,34 +271,21 @@
 			break
 		}
 		tried[replica.Endpoint] = true
-		answer, err := d.sendTo(ctx, r, n+1, replica, send)
-		if err != nil && replica.HonorsKeys && !r.Class.Idempotent {
+		answer, err := d.sendTo(ctx, r, n+1, replica)
+		if err != nil && replica.HonorsKeys {
 			answer, err = d.insist(ctx, r, replica, err)
 		}
 		release()
-		if err == nil && answer.Status < firstServerError {
-			return answer, nil
-		}
 		if err == nil {
-			failed = &answer
-		} else {
-			last = worst(last, err)
+			return answer, nil
 		}
-		if !r.Class.Idempotent && !notRun(err) || ctx.Err() != nil {
+		last = err
+		if !notRun(err) || ctx.Err() != nil {
 			break
 		}
 		d.Counter.Retried(r.Class.Name)
 	}
-	switch {
-	case failed != nil:
-		return *failed, nil
-	case last != nil:
-		return outcome.Answer{}, last
-	}
-	return outcome.Answer{}, &outcome.Error{
-		Op: "pick", Kind: outcome.NotRun, Cause: outcome.CauseNoEndpoint,
-		Message: "no replica of " + r.Class.Service + " takes new work", RetryAfter: time.Second,
-	}
+	return outcome.Answer{}, last
 }
 
 // pickPause is the time between two looks for a replica.
@@ -328,7 +314,7 @@
 func (d *Deliverer) insist(ctx context.Context, r Request, to Replica, first error) (outcome.Answer, error) {
 	for n := 1; n < d.opts.Attempts && !notRun(first) && ctx.Err() == nil; n++ {
 		time.Sleep(insistPause)
-		answer, err := d.sendTo(ctx, r, n+1, to, d.Services.Send)
+		answer, err := d.sendTo(ctx, r, n+1, to)
 		if err == nil {
 			return answer, nil
 		}
@@ -337,7 +323,7 @@
 	return outcome.Answer{}, first
 }
 
-func (d *Deliverer) sendTo(ctx context.Context, r Request, attempt int, to Replica, send send) (outcome.Answer, error) {
+func (d *Deliverer) sendTo(ctx context.Context, r Request, attempt int, to Replica) (outcome.Answer, error) {
 	// A host may have been paused up to here, so the deadline is checked
 	// right before the first byte.
 	left := time.Until(r.Deadline)
@@ -346,11 +332,12 @@
 			Op: "send", Kind: outcome.NotRun, Cause: outcome.CauseDeadline, Message: "the deadline passed before the call was sent",
 		}
 	}
-	answer, err := send(ctx, to.Address, service.Call{
+	answer, err := d.Services.Send(ctx, to.Address, service.Call{
 		RequestID: r.ID, Attempt: attempt, Key: r.Key, Method: r.Method, Path: r.Path,
 		ContentType: r.ContentType, Body: r.Body, Timeout: left,
 	})
-	if err != nil {
+	// The loser of a race is not to blame.
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		d.Log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
 			"endpoint", to.Endpoint, "cause", err.Error())
 		d.blame(to, err)
--- a/gossip/partner.go
+++ b/gossip/partner.go
@@ -13,6 +13,19 @@
 // are worth keeping.
 const epoch = time.Minute
 
+// Home returns the member that is responsible for a key, which all members work
+// out alike, or "" if there is none.
+func Home(key string, members []string) string {
+	home := ""
+	most := uint64(0)
+	for _, m := range members {
+		if sum := xxhash.Sum64String(key + "\x00" + m); home == "" || sum > most {
+			home, most = m, sum
+		}
+	}
+	return home
+}
+
 // Partners returns the fanout members that a host exchanges with for a while.
 // Each host draws its own, by hash, so that the fleet's exchanges form a
 // random graph.
--- a/load/book.go
+++ b/load/book.go
@@ -17,6 +17,8 @@
 	http    *jsonhttp.Client
 	seeds   []string
 	timeout time.Duration
+	// pinned books know the seeds only.
+	pinned bool
 
 	mu      sync.Mutex
 	entries []caller.Entry
@@ -35,8 +37,8 @@
 // keysPerFetch is the number of keys that are fetched at a time.
 const keysPerFetch = 20
 
-func newBook(seeds []string, timeout time.Duration) *book {
-	return &book{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), seeds: seeds, timeout: timeout, keys: map[string][]string{}}
+func newBook(seeds []string, timeout time.Duration, pinned bool) *book {
+	return &book{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), seeds: seeds, timeout: timeout, pinned: pinned, keys: map[string][]string{}}
 }
 
 func (b *book) fetch(address string, keys int) (entriesAnswer, error) {
@@ -68,7 +70,7 @@
 // refresh asks for the addresses anew once the last answer is too old.
 func (b *book) refresh() {
 	b.mu.Lock()
-	if time.Now().Before(b.until) {
+	if b.pinned || time.Now().Before(b.until) {
 		b.mu.Unlock()
 		return
 	}
@@ -95,7 +97,7 @@
 // key returns an unused key and the address of its home.
 func (b *book) key() (key, home string, err error) {
 	avoid := map[string]bool{}
-	for range maxSends {
+	for range defaultSends {
 		home = b.address(avoid)
 		if key, ok := b.takeKey(home); ok {
 			return key, home, nil
--- a/load/driver.go
+++ b/load/driver.go
@@ -38,14 +38,21 @@
 	Executions []string
 	// Progress is where a line goes each second; nil for none.
 	Progress io.Writer
+	// Sends is how often a caller sends one request; 0 for a few times.
+	Sends int
+	// Pinned keeps to Seeds, and asks for no other addresses.
+	Pinned bool
 	// Seed makes the order of kinds and customers repeatable.
 	Seed uint64
 }
 
 // Run drives the load and returns what came of it.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Sends == 0 {
+		o.Sends = defaultSends
+	}
 	d := &driver{
-		opts: o, book: newBook(o.Seeds, time.Second), tally: newTally(),
+		opts: o, book: newBook(o.Seeds, time.Second, o.Pinned), tally: newTally(),
 		rand: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
 	d.drive(ctx)
--- a/load/request.go
+++ b/load/request.go
@@ -18,8 +18,8 @@
 	"bulrushshed/reference"
 )
 
-// maxSends is how often a caller sends one request.
-const maxSends = 5
+// defaultSends is how often a caller sends one request.
+const defaultSends = 5
 
 // sendPause is the wait between two sends.
 const sendPause = 100 * time.Millisecond
@@ -56,7 +56,7 @@
 	c := history.Call{Key: key}
 	avoid := map[string]bool{}
 	to := home
-	for range maxSends {
+	for range d.opts.Sends {
 		kind, sent := d.sendCall(ctx, to, customer, key)
 		if sent {
 			c.Sends = append(c.Sends, history.Send{Entry: to, Kind: kind, At: time.Now()})
@@ -93,7 +93,7 @@
 // check asks an idempotent question until it has an answer.
 func (d *driver) check(ctx context.Context, customer string, intended time.Time) {
 	avoid := map[string]bool{}
-	for range maxSends {
+	for range d.opts.Sends {
 		to := d.book.address(avoid)
 		resp, err := d.book.http.Exchange(ctx, jsonhttp.Request{
 			Method: http.MethodGet, URL: "http://" + to + d.opts.CheckPath, Timeout: d.opts.Timeout,
@@ -104,7 +104,9 @@
 			return
 		}
 		avoid[to] = true
-		time.Sleep(sendPause)
+		if d.opts.Sends > 1 {
+			time.Sleep(sendPause)
+		}
 	}
 	d.tally.check(false, time.Since(intended))
 }
@@ -126,7 +128,7 @@
 	avoid := map[string]bool{}
 	sends := 0
 	var s *stream
-	for sends < maxSends {
+	for sends < d.opts.Sends {
 		sends++
 		to := d.book.address(avoid)
 		s = d.openStream(ctx, to, customer, prompt, intended)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -93,6 +93,11 @@
 // Dropped counts a late or crossed event.
 func (m *Meter) Dropped() { m.set.GetOrCreateCounter("bulrushshed_events_dropped_total").Inc() }
 
+// Hedged counts a call that was sent to a second replica beside a slow one.
+func (m *Meter) Hedged(class string) {
+	m.count("bulrushshed_hedges_total", "class", m.classes.label(class))
+}
+
 // Retried counts a call that was tried at another replica.
 func (m *Meter) Retried(class string) {
 	m.count("bulrushshed_retries_total", "class", m.classes.label(class))
--- a/peer/message.go
+++ b/peer/message.go
@@ -19,6 +19,7 @@
 	KindExchange Kind = "exchange"
 	KindJoin     Kind = "join"
 	KindRules    Kind = "rules"
+	KindDemand   Kind = "demand"
 )
 
 // Message is one request; only the field of its kind is set.
@@ -26,10 +27,18 @@
 	Kind     Kind             `cbor:"kind"`
 	Forward  *Forward         `cbor:"forward,omitempty"`
 	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
+	Demand   *Demand          `cbor:"demand,omitempty"`
 	// Have is the version that a host asking for newer rules has.
 	Have rule.Version `cbor:"have,omitempty"`
 }
 
+// Demand is how many requests of limited customers a host had lately, of those
+// customers that the other host is responsible for.
+type Demand struct {
+	From  string             `cbor:"from"`
+	Rates map[string]float64 `cbor:"rates"`
+}
+
 // Rules is the file in force on the host that answers. If the asking host has
 // the version before, Snapshot is without the text, and Delta gives it.
 type Rules struct {
@@ -56,9 +65,11 @@
 
 // Reply answers a message; only the field of the message's kind is set.
 type Reply struct {
-	Answer   *outcome.Answer  `cbor:"answer,omitempty"`
-	Error    *outcome.Error   `cbor:"error,omitempty"`
-	Known    *Known           `cbor:"known,omitempty"`
-	Rules    *Rules           `cbor:"rules,omitempty"`
-	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
+	Answer *outcome.Answer `cbor:"answer,omitempty"`
+	Error  *outcome.Error  `cbor:"error,omitempty"`
+	Known  *Known          `cbor:"known,omitempty"`
+	Rules  *Rules          `cbor:"rules,omitempty"`
+	// Shares are parts of customers' limits, from 0 to 1.
+	Shares   map[string]float64 `cbor:"shares,omitempty"`
+	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
 }
--- a/route/flow.go
+++ b/route/flow.go
@@ -244,6 +244,19 @@
 	return r
 }
 
+// TokenTime is the mean expected time of a token over all routes.
+func (f *Flow) TokenTime() time.Duration {
+	sum, before := 0.0, 0.0
+	for i, r := range f.Routes {
+		sum += (f.Upto[i] - before) * float64(r.TokenTime)
+		before = f.Upto[i]
+	}
+	return time.Duration(sum / max(before, 1e-9))
+}
+
+// Concurrency is the number of requests at a time that carry the flow.
+func (f *Flow) Concurrency() float64 { return f.Rate * f.TokenTime().Seconds() }
+
 // Draw returns the route at a point u of [0, 1) of the flow's shares, or nil if
 // there is none.
 func (f *Flow) Draw(u float64) *Route {
--- a/servicehttp/client.go
+++ b/servicehttp/client.go
@@ -21,18 +21,12 @@
 	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions())}
 }
 
-// Send makes a call that must not be repeated, on a connection of its own.
+// Send makes a call once, on a connection of its own; ending ctx gives it up.
 func (c *Client) Send(ctx context.Context, address string, call service.Call) (outcome.Answer, error) {
 	resp, err := c.http.Exchange(ctx, request(address, call))
 	return read(resp, err)
 }
 
-// SendIdempotent makes a call that may be repeated, on a shared connection.
-func (c *Client) SendIdempotent(_ context.Context, address string, call service.Call) (outcome.Answer, error) {
-	resp, err := c.http.Do(request(address, call))
-	return read(resp, err)
-}
-
 func request(address string, call service.Call) jsonhttp.Request {
 	headers := map[string]string{service.HeaderRequestID: call.RequestID}
 	if call.Key != "" {
