--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,161 @@
+package directory_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bulrushshed/directory"
+	"bulrushshed/engine"
+	"bulrushshed/platform"
+	"bulrushshed/route"
+	"bulrushshed/rule"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	opts  = directory.Options{StatusLife: 5 * time.Second, SuspectLife: time.Second}
+)
+
+func host(name string, incarnation int64, state platform.State) platform.Host {
+	return platform.Host{Name: name, Role: platform.RoleEngine, Incarnation: incarnation, State: state}
+}
+
+func status(name string, incarnation int64, version string, from, to int) engine.Status {
+	return engine.Status{Holding: route.Holding{
+		Endpoint: name, Incarnation: incarnation, Model: "m", Version: version, Slots: 8, LayerTime: time.Millisecond,
+		Layers: route.Range{From: from, To: to},
+	}}
+}
+
+// Each line is a piece of news about one engine in the order that it came, and
+// whether the engine takes new work behind it.
+func TestWhatNewsMeans(t *testing.T) {
+	t.Parallel()
+	for _, line := range strings.Split(strings.TrimSpace(`
+list1 status1                          -> used
+list1                                  -> not used
+list1 status1 leave1                   -> not used
+list1 status1 leave1 status1           -> not used
+list1 status1 leave1 list1             -> not used
+list1 status1 leave1 list2 status2     -> used
+list1 status1 leave1 status2           -> used
+list1 status1 list2 leave1 status2     -> used
+leave1 list1 status1                   -> not used
+leave2 list1 status1                   -> not used
+list2 status2 list1                    -> used
+list2 status2 status1                  -> used
+list1 status1 suspect1                 -> not used
+list1 status1 suspect1 wait            -> not used
+list1 status1 suspect1 wait status1    -> used
+list1 status1 suspect1 status2         -> used
+list2 status2 suspect1                 -> used
+list1 status1 silence                  -> not used
+`), "\n") {
+		news, want, _ := strings.Cut(line, "->")
+		t.Run(strings.TrimSpace(news), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := directory.New(opts)
+			now := start
+			for _, word := range strings.Fields(news) {
+				now = now.Add(time.Millisecond)
+				n := int64(word[len(word)-1] - '0')
+				switch strings.TrimRight(word, "12") {
+				case "list":
+					d.List([]platform.Host{host("e", n, platform.StateLive)}, now)
+				case "status":
+					d.Status("e", status("e", n, "v", 0, 4), now)
+				case "leave":
+					d.Leave(directory.Leaving{Host: "e", Incarnation: n}, now)
+				case "suspect":
+					d.Suspect("e", n, now)
+				case "wait":
+					now = now.Add(2 * time.Second)
+				case "silence":
+					now = now.Add(10 * time.Second)
+				default:
+					t.Fatalf("got %q, want news", word)
+				}
+			}
+			d.Refresh(now)
+			got := "not used"
+			if len(d.View().Holdings) == 1 {
+				got = "used"
+			}
+			is.Equal(got, strings.TrimSpace(want))
+		})
+	}
+}
+
+// Whatever order news comes in, once all of it is there, a host is used exactly
+// if its newest incarnation does not leave.
+func TestNewsInAnyOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		leaves := map[int64]bool{}
+		var news []func(d *directory.Directory)
+		for n := int64(1); n <= 3; n++ {
+			news = append(news, func(d *directory.Directory) {
+				d.List([]platform.Host{host("e", n, platform.StateLive)}, start)
+				d.Status("e", status("e", n, "v", 0, 4), start)
+			})
+			if rapid.Bool().Draw(t, "leaves") {
+				leaves[n] = true
+				news = append(news, func(d *directory.Directory) {
+					d.Leave(directory.Leaving{Host: "e", Incarnation: n}, start)
+				})
+			}
+		}
+		d := directory.New(opts)
+		for _, f := range rapid.Permutation(news).Draw(t, "order") {
+			f(d)
+		}
+		d.Refresh(start)
+		if used := len(d.View().Holdings) == 1; used == leaves[3] {
+			t.Fatalf("got used %t, want %t", used, !leaves[3])
+		}
+	})
+}
+
+// New requests go over to the version of the rules once that carries half of
+// what the other does.
+func TestVersionOfNewRequests(t *testing.T) {
+	t.Parallel()
+	model := rule.Model{Name: "m", Version: "v2", Layers: 4}
+	for _, c := range []struct{ old, now, want string }{
+		{"0-4 0-4", "", "v1"},
+		{"0-4 0-4", "0-2", "v1"},
+		{"0-4 0-4", "0-2 2-4", "v2"},
+		{"0-4 0-4 0-4 0-4 0-4 0-4 0-4 0-4", "0-4", "v1"},
+		{"0-2", "0-4", "v2"},
+		{"", "", "v2"},
+	} {
+		t.Run(c.old+" and "+c.now, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := directory.New(opts)
+			var hosts []platform.Host
+			for version, ranges := range map[string]string{"v1": c.old, "v2": c.now} {
+				for n := range strings.Fields(ranges) {
+					hosts = append(hosts, host(fmt.Sprint(version, n), 1, platform.StateLive))
+				}
+			}
+			d.List(hosts, start)
+			for version, ranges := range map[string]string{"v1": c.old, "v2": c.now} {
+				for n, text := range strings.Fields(ranges) {
+					var from, to int
+					_, err := fmt.Sscanf(text, "%d-%d", &from, &to)
+					is.NoErr(err)
+					d.Status(fmt.Sprint(version, n), status(fmt.Sprint(version, n), 1, version, from, to), start)
+				}
+			}
+			d.Refresh(start)
+			is.Equal(d.View().Version(model), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/gossip/table_test.go
@@ -0,0 +1,138 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bulrushshed/gossip"
+)
+
+var start = time.Unix(1000, 0)
+
+func fleet(n int) ([]*gossip.Table, []string) {
+	var tables []*gossip.Table
+	var names []string
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i)
+		names = append(names, name)
+		tables = append(tables, gossip.NewTable(gossip.Options{Self: name, MaxBytes: 4096, Redundancy: 2}))
+	}
+	return tables, names
+}
+
+// round lets each host tell its partners, and compare digests with one of them;
+// of all messages a share is lost. It returns the most items that one host sent.
+func round(tables []*gossip.Table, names []string, at int, lost float64, r *rand.Rand) (most int) {
+	index := map[string]int{}
+	for i, name := range names {
+		index[name] = i
+	}
+	now := start.Add(time.Duration(at) * time.Second)
+	for i, t := range tables {
+		sent := 0
+		for n, name := range gossip.Partners(names[i], names, 3, now) {
+			x := t.News(len(names))
+			sent += len(x.Items)
+			if r.Float64() < lost {
+				continue
+			}
+			other := tables[index[name]]
+			other.Merge(x.Items, now)
+			if n == at%3 {
+				t.Merge(other.Differing(*t.Compare().Digest).Items, now)
+				other.Merge(t.Differing(*other.Compare().Digest).Items, now)
+			}
+		}
+		most = max(most, sent)
+	}
+	return most
+}
+
+// News reaches all of a fleet in a number of rounds that grows with its
+// logarithm, and each host passes it on a bounded number of times. Hosts that
+// nobody has as a partner find it by comparing digests.
+func TestNewsReachesAll(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{9, 50, 400} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := rand.New(rand.NewPCG(1, 1))
+			tables, names := fleet(n)
+			tables[0].Put(gossip.Item{Key: "leave/e", Stamp: 7, LifeMS: 600_000}, start)
+			rounds, most := 0, 0
+			for ; rounds < 50; rounds++ {
+				most = max(most, round(tables, names, rounds, 0, r))
+				all := true
+				for _, table := range tables {
+					_, ok := table.Get("leave/e")
+					all = all && ok
+				}
+				if all {
+					break
+				}
+			}
+			t.Logf("%d hosts: %d rounds", n, rounds+1)
+			is.True(rounds < 12)
+			is.True(most <= 3) // one item to each of three partners
+		})
+	}
+}
+
+// What lost messages left out, the comparison of digests finds.
+func TestDigestsFindWhatWasLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(2, 2))
+	tables, names := fleet(30)
+	for n := range 40 {
+		tables[n%30].Put(gossip.Item{Key: fmt.Sprint("item/", n), Stamp: int64(n), LifeMS: 600_000}, start)
+	}
+	for at := range 30 {
+		round(tables, names, at, 0.5, r)
+	}
+	for _, table := range tables {
+		is.Equal(table.Len(), 40)
+		is.Equal(*table.Compare().Digest, *tables[0].Compare().Digest)
+	}
+}
+
+func TestANewerStampWins(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	one, two := gossip.NewTable(gossip.Options{}), gossip.NewTable(gossip.Options{})
+	older := gossip.Item{Key: "k", Stamp: 1, Value: []byte("a"), LifeMS: 1000}
+	newer := gossip.Item{Key: "k", Stamp: 2, Value: []byte("b"), LifeMS: 1000}
+	is.Equal(len(one.Merge([]gossip.Item{older, newer}, start)), 2)
+	is.Equal(len(two.Merge([]gossip.Item{newer, older}, start)), 1)
+	is.Equal(*one.Compare().Digest, *two.Compare().Digest)
+	one.Expire(start.Add(2 * time.Second))
+	is.Equal(one.Len(), 0)
+	is.Equal(*one.Compare().Digest, gossip.Digest{})
+}
+
+// In a large fleet two hosts of each failure domain read the log, in a small
+// one all do.
+func TestWhoReadsTheLog(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	readers := func(n, domains int) int {
+		var all []gossip.Member
+		for i := range n {
+			all = append(all, gossip.Member{Name: fmt.Sprint("entry-", i), FailureDomain: fmt.Sprint(i % domains)})
+		}
+		count := 0
+		for _, m := range all {
+			if gossip.Reads(m, all) {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(readers(9, 3), 9)
+	is.Equal(readers(400, 10), 20)
+}
