--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The packages whose tables goroutines share.
 shared := ./admit ./balance ./caller ./claim ./completion ./delivery ./directory ./gossip ./peer ./publication
 
-.PHONY: build demo test race lint
+.PHONY: build demo test race lint prove bench
 
 build:
 	mkdir -p bin
@@ -20,5 +20,19 @@
 race:
 	go test -race -count=1 $(skip) $(shared)
 
+# The interleavings at full length.
+prove:
+	go test -count=1 ./delivery -run Interleavings -rapid.checks=100000 -v
+	go test -count=1 ./completion -run Kills -rapid.checks=10000 -v
+	go test -count=1 ./route -rapid.checks=10000
+	go test -count=1 ./lease -run AtMostOne -rapid.checks=100000 -v
+	go test -count=1 ./rule ./directory ./admit -rapid.checks=10000
+
+# The figures of docs/MEASUREMENTS.md; about ten minutes on eight cores.
+bench:
+	go test ./route ./meter ./claim -run xxx -bench . -benchtime 300ms
+	go test ./proof -run xxx -bench . -benchtime 1x
+	go test ./daemon -run xxx -bench . -benchtime 1x
+
 lint:
 	golangci-lint run
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -142,10 +142,12 @@
 func (s *Server) run(ctx context.Context, req completion.Request, sink completion.Sink) error {
 	bounded, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	start := time.Now()
 	leave, err := s.gate.Enter(bounded, req)
 	if err != nil {
 		return err
 	}
+	s.meter.Queued(req.Model.Name, time.Since(start))
 	defer leave()
 	return s.completer.Run(ctx, req, sink)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -71,6 +71,7 @@
 	Answered(customer, class string, kind outcome.Kind, cause outcome.Cause, took time.Duration)
 	FirstToken(customer, class string, took time.Duration)
 	BetweenTokens(customer, class string, took time.Duration)
+	Queued(class string, took time.Duration)
 }
 
 // Options bound what callers may send.
--- a/cmd/bulrushctl/rules.go
+++ b/cmd/bulrushctl/rules.go
@@ -122,6 +122,7 @@
 	author   string
 	base     int64
 	dryRun   bool
+	reset    bool
 }
 
 func (*publishCommand) Name() string     { return "publish" }
@@ -134,6 +135,7 @@
 	f.StringVar(&c.platform, "platform", defaultPlatform, "base URL of the platform")
 	f.StringVar(&c.author, "author", "", "who publishes; the user's name by default")
 	f.Int64Var(&c.base, "base", -1, "version that was edited; by default the file's version line")
+	f.BoolVar(&c.reset, "reset", false, "put the file in force whatever was before; only if every copy of that was lost")
 	f.BoolVar(&c.dryRun, "dry-run", false, "check and compare only")
 }
 
@@ -158,7 +160,7 @@
 	if base < 0 && cur.Version == 0 {
 		base = 0
 	}
-	if base != cur.Version {
+	if base != cur.Version && !c.reset {
 		return c.conflict(base, cur, text)
 	}
 	fmt.Print(rule.Diff(cur.Text, text))
@@ -184,7 +186,7 @@
 }
 
 func (c *publishCommand) publish(log *platformhttp.Client, path, text string, base rule.Version) subcommands.ExitStatus {
-	p := rule.Publication{ID: publication.NewID(), Base: base, Author: c.name(), Text: versionLine.ReplaceAllString(text, "")}
+	p := rule.Publication{ID: publication.NewID(), Base: base, Author: c.name(), Reset: c.reset, Text: versionLine.ReplaceAllString(text, "")}
 	v, err := publication.Publish(log, p, lookUpPause, lookUpTries)
 	var e *publication.Error
 	switch {
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -129,6 +129,14 @@
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.keeper.Current().Version) })
 	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.Present()) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
+	d.meter.Gauge("bulrushshed_waiting", func() float64 { return float64(d.gate.Waiting()) })
+	d.meter.Gauge("bulrushshed_journal_pending", func() float64 { return float64(d.journal.Pending()) })
+	d.meter.Gauge("bulrushshed_lease_held", func() float64 {
+		if _, ok := d.keeper.Holds(time.Now()); ok {
+			return 1
+		}
+		return 0
+	})
 	d.meter.Gauge("bulrushshed_peer_bytes", func() float64 { return float64(d.node.Bytes()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.keeper.State().LastRead).Seconds() })
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -87,6 +87,11 @@
 	m.observe("bulrushshed_between_tokens_seconds", customer, class, took)
 }
 
+// Queued records the wait of a request for its place, by class.
+func (m *Meter) Queued(class string, took time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`bulrushshed_queue_seconds{class=%q}`, m.classes.label(class))).Update(took.Seconds())
+}
+
 // Resumed counts an attempt that failed, by cause.
 func (m *Meter) Resumed(cause string) { m.count("bulrushshed_resumes_total", "cause", cause) }
 
