Measure resumes, idle cost and what control costs a host

Change: the platform's list is read conditionally; the load tool sums up the streams that stalled; benchmarks of resume and of an idle host.

--- a/cmd/bulrushctl/load.go
+++ b/cmd/bulrushctl/load.go
@@ -93,5 +93,6 @@
 	} {
 		fmt.Printf("%-15s p50 %8.1f ms  p95 %8.1f ms  p99 %8.1f ms  max %8.1f ms\n", row.name, row.l.P50, row.l.P95, row.l.P99, row.l.Max)
 	}
-	fmt.Printf("longest gap between two tokens %.0f ms\n", r.LongestGapMS)
+	fmt.Printf("recovery time: %d streams stalled, p50 %.0f ms, p95 %.0f ms, longest %.0f ms\n",
+		r.Stalled, r.Stall.P50, r.Stall.P95, r.LongestGapMS)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,6 +72,9 @@
 	joined atomic.Bool
 	// draining is set once, when a graceful stop begins.
 	draining atomic.Bool
+	// listTag is the tag of the platform's list as last read; the loop of
+	// readHosts alone uses it.
+	listTag string
 	// listFailure is why the platform's list could not be read, or "".
 	listFailure atomic.Value
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -12,12 +12,16 @@
 
 // readHosts takes the platform's list.
 func (d *Daemon) readHosts(context.Context) {
-	hosts, err := d.platform.Hosts()
+	hosts, tag, err := d.platform.Hosts(d.listTag)
 	if err != nil {
 		d.listFailure.Store(err.Error())
 		return
 	}
 	d.listFailure.Store("")
+	if tag == d.listTag && tag != "" {
+		return
+	}
+	d.listTag = tag
 	d.directory.List(hosts, time.Now())
 }
 
--- a/load/tally.go
+++ b/load/tally.go
@@ -42,6 +42,25 @@
 
 	first, between, answer, callTime, checkTime *hdrhistogram.Histogram
 	longestGap                                  time.Duration
+	// longest are the longest gaps of all streams.
+	longest []time.Duration
+}
+
+// stallFactor is how many times the median gap between tokens a stream's
+// longest gap is at least, if it counts as stalled.
+const stallFactor = 5
+
+// stalls returns the longest gaps of the streams that stalled.
+func (t *tally) stalls() (n int, l Latency) {
+	h := newHistogram()
+	median := time.Duration(t.between.ValueAtQuantile(50)) * time.Microsecond
+	for _, g := range t.longest {
+		if g > stallFactor*median {
+			record(h, g)
+			n++
+		}
+	}
+	return n, latency(h)
 }
 
 func newTally() *tally {
@@ -107,10 +126,13 @@
 	if len(s.tokens) > 0 {
 		record(t.first, s.first)
 	}
+	longest := time.Duration(0)
 	for _, g := range s.gaps {
 		record(t.between, g)
-		t.longestGap = max(t.longestGap, g)
+		longest = max(longest, g)
 	}
+	t.longestGap = max(t.longestGap, longest)
+	t.longest = append(t.longest, longest)
 }
 
 func (t *tally) line(since time.Duration) string {
@@ -152,6 +174,10 @@
 	Call         Latency `json:"call"`
 	Check        Latency `json:"check"`
 	LongestGapMS float64 `json:"longest_gap_ms"`
+	// Stalled counts the streams with a gap far beyond the median, and Stall
+	// sums up those gaps.
+	Stalled int     `json:"stalled"`
+	Stall   Latency `json:"stall"`
 }
 
 // Broken reports whether a promise was broken.
@@ -161,6 +187,7 @@
 	executions, err := fetchExecutions(o.Executions)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	stalled, stall := t.stalls()
 	calls := history.CheckCalls(t.keys, executions)
 	if len(o.Executions) == 0 {
 		// Without executions, nothing is known of what ran.
@@ -176,6 +203,7 @@
 		FirstToken: latency(t.first), Between: latency(t.between), Answer: latency(t.answer),
 		Call: latency(t.callTime), Check: latency(t.checkTime),
 		LongestGapMS: float64(t.longestGap.Microseconds()) / 1000,
+		Stalled:      stalled, Stall: stall,
 	}, err
 }
 
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -1,6 +1,7 @@
 package platformhttp
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -74,11 +75,27 @@
 	Hosts []platform.Host `json:"hosts"`
 }
 
-// Hosts returns the platform's list of hosts.
-func (c *Client) Hosts() ([]platform.Host, error) {
+// Hosts returns the platform's list of hosts with a tag of it. If the list still
+// is the one of an earlier tag, the list is nil and the tag the same.
+func (c *Client) Hosts(known string) (hosts []platform.Host, tag string, err error) {
+	r := jsonhttp.Request{Method: http.MethodGet, URL: c.base + "/v1/hosts", Timeout: c.timeout}
+	if known != "" {
+		r.Headers = map[string]string{"If-None-Match": known}
+	}
+	resp, err := c.http.Do(r)
+	switch {
+	case err != nil:
+		return nil, "", &Error{Op: "hosts", Kind: effect(err), Cause: err}
+	case resp.Status == http.StatusNotModified:
+		return nil, known, nil
+	case resp.Status != http.StatusOK:
+		return nil, "", &Error{Op: "hosts", Kind: KindUnavailable, Cause: fmt.Errorf("got status %d", resp.Status)}
+	}
 	var out hostList
-	err := c.call("hosts", http.MethodGet, "/v1/hosts", nil, &out)
-	return out.Hosts, err
+	if err := json.Unmarshal(resp.Body, &out); err != nil {
+		return nil, "", &Error{Op: "hosts", Kind: KindUnavailable, Cause: err}
+	}
+	return out.Hosts, resp.Header("ETag"), nil
 }
 
 // Announce puts a host on the platform's list, or changes its line.
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -44,6 +44,21 @@
 	return float64(user+system) / ticks
 }
 
+// ioBytes returns how many bytes a process has read and written so far by plain
+// calls, which leaves QUIC out.
+func ioBytes(b *testing.B, pid int) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var read, written float64
+	if _, err := fmt.Sscanf(string(text), "rchar: %f\nwchar: %f", &read, &written); err != nil {
+		b.Fatal(err)
+	}
+	return read + written
+}
+
 // BenchmarkStreams opens 1,000 streams through one entry host at a time and
 // prints what they cost it.
 func BenchmarkStreams(b *testing.B) {
--- /dev/null
+++ b/proof/resume_bench_test.go
@@ -0,0 +1,64 @@
+package proof_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkResume kills or freezes one stage after another under load and prints
+// the gaps that callers saw.
+func BenchmarkResume(b *testing.B) {
+	for _, how := range []string{"kill", "freeze"} {
+		b.Run(how, func(b *testing.B) {
+			c := newCluster(b, 3, 1, twoPipelines)
+			var s script
+			at := time.Second
+			for round := range 8 {
+				n := round % len(c.engines)
+				name := c.engines[n].name
+				if how == "kill" {
+					s = append(s, event{at, func() { c.kill(name) }}, event{at + time.Second, func() { c.startEngine(n) }})
+				} else {
+					s = append(s, event{at, func() { c.freeze(name) }}, event{at + time.Second, func() { c.thaw(name) }})
+				}
+				at += 4 * time.Second
+			}
+			for b.Loop() {
+				o := c.streamLoad(60, at)
+				r := c.play(o, s)
+				b.ReportMetric(float64(r.Stalled), "stalled")
+				b.ReportMetric(r.Stall.P50, "ms-gap-p50")
+				b.ReportMetric(r.Stall.P95, "ms-gap-p95")
+				b.ReportMetric(float64(len(r.TokensWrong)), "tokens-wrong")
+				b.ReportMetric(float64(r.Sent-r.Whole), "not-whole")
+			}
+		})
+	}
+}
+
+// BenchmarkIdle prints what an entry host without requests costs beside so many
+// engines.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{5, 20, 40} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var engines []engineSpec
+			for i := range n {
+				spec := twoPipelines[i%len(twoPipelines)]
+				spec.name = fmt.Sprintf("engine-%d", i)
+				engines = append(engines, spec)
+			}
+			c := newCluster(b, 9, 3, engines)
+			pid := c.procs["entry-1"].Process.Pid
+			time.Sleep(3 * time.Second)
+			for b.Loop() {
+				const d = 10 * time.Second
+				before, bytes := processorTime(b, pid), ioBytes(b, pid)
+				time.Sleep(d)
+				b.ReportMetric((ioBytes(b, pid)-bytes)/d.Seconds(), "B/s")
+				b.ReportMetric((processorTime(b, pid)-before)/d.Seconds()*100, "%core")
+				b.ReportMetric(memory(b, pid), "MB")
+			}
+		})
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
 
 	"bulrushshed/platform"
@@ -173,7 +176,17 @@
 }
 
 func (p *Platform) serveHosts(c fiber.Ctx) error {
-	return c.JSON(fiber.Map{"hosts": p.list(time.Now())})
+	body, err := json.Marshal(fiber.Map{"hosts": p.list(time.Now())})
+	if err != nil {
+		return err
+	}
+	tag := fmt.Sprintf(`"%x"`, xxhash.Sum64(body))
+	c.Set(fiber.HeaderETag, tag)
+	if c.Get(fiber.HeaderIfNoneMatch) == tag {
+		return c.SendStatus(fiber.StatusNotModified)
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(body)
 }
 
 func (p *Platform) list(now time.Time) []platform.Host {
