Judge deadlines by how long requests take in truth

Cause: at twice the load streams were let in that the planned time per token said would just make their deadline; crowded engines took longer, and what was cut at its deadline had been work for nothing. Change: a queue learns the ratio of the time that served requests took to the time that was expected, and looks at deadlines by it, with a tenth of slack. Log lines of a refused request name its last attempt.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -45,9 +45,12 @@
 	g.pools[pool] = NewQueue(places)
 }
 
-// Enter waits for a place in a pool, which is given back by leave. The error is
-// an *outcome.Error of kind NotRun.
-func (g *Gate) Enter(ctx context.Context, pool string, a Ask, f *rule.File, now time.Time) (leave func(), err error) {
+// Enter waits for a place in a pool, which is given back by leave; that also
+// tells whether the request was served to its end. The error is an
+// *outcome.Error of kind NotRun.
+func (g *Gate) Enter(
+	ctx context.Context, pool string, a Ask, f *rule.File, now time.Time,
+) (leave func(served bool), err error) {
 	t, err := g.ask(pool, a, f, now)
 	if err != nil {
 		return nil, err
@@ -61,7 +64,7 @@
 	if !t.Admitted() {
 		return nil, refuse(outcome.CauseDeadline, "no place came up in time", time.Second)
 	}
-	return sync.OnceFunc(func() { g.leave(pool) }), nil
+	return func(served bool) { g.leave(pool, t, served) }, nil
 }
 
 func (g *Gate) ask(pool string, a Ask, f *rule.File, now time.Time) (*Ticket, error) {
@@ -93,10 +96,14 @@
 	g.pools[pool].Abandon(t, time.Now())
 }
 
-func (g *Gate) leave(pool string) {
+func (g *Gate) leave(pool string, t *Ticket, served bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pools[pool].Leave(time.Now())
+	now := time.Now()
+	if served {
+		g.pools[pool].Served(t, now)
+	}
+	g.pools[pool].Leave(now)
 }
 
 // Waiting returns the number of requests that wait for a place.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -28,9 +28,11 @@
 	seq int64
 	// index is the place in the heap, or -1.
 	index int
-	// ready is closed once the ticket is settled; admitted says how.
+	// ready is closed once the ticket is settled; admitted says how, and
+	// since when.
 	ready    chan struct{}
 	admitted bool
+	since    time.Time
 }
 
 // Ready is closed once the ticket has a place or is refused.
@@ -53,11 +55,38 @@
 	finished map[string]float64
 	// backlog is the sum of the service of all that wait.
 	backlog time.Duration
+	// pace is how long requests take in truth, as a share of what was
+	// expected.
+	pace float64
+}
+
+const (
+	// paceWeight is the weight of the newest request in the pace.
+	paceWeight = 0.05
+	// maxPace bounds what a few odd requests can make of it.
+	maxPace = 4
+	// slack is what a request is expected to take beyond the mean, when its
+	// deadline is looked at: half of all take longer than the mean.
+	slack = 1.1
+)
+
+// takes is how long a request is expected to hold its place.
+func (q *Queue) takes(a Ask) time.Duration {
+	return time.Duration(float64(a.Service) * q.pace * slack)
+}
+
+// Served tells that a request with a place was served to its end.
+func (q *Queue) Served(t *Ticket, now time.Time) {
+	if t.ask.Service <= 0 {
+		return
+	}
+	ratio := float64(now.Sub(t.since)) / float64(t.ask.Service)
+	q.pace += paceWeight * (min(ratio, maxPace) - q.pace)
 }
 
 // NewQueue returns a queue with a number of places.
 func NewQueue(places int) *Queue {
-	return &Queue{places: places, finished: map[string]float64{}}
+	return &Queue{places: places, finished: map[string]float64{}, pace: 1}
 }
 
 // Resize changes the number of places. Nobody who has one loses it.
@@ -71,17 +100,17 @@
 	if q.taken < q.places {
 		return 0
 	}
-	return q.backlog / time.Duration(max(q.places, 1))
+	return time.Duration(float64(q.backlog) * q.pace / float64(max(q.places, 1)))
 }
 
 // Enter takes a place or a ticket; ok is false if the deadline can't be met.
 func (q *Queue) Enter(a Ask, now time.Time) (t *Ticket, ok bool) {
-	if q.places <= 0 || now.Add(q.ahead(a)+a.Service).After(a.Deadline) {
+	if q.places <= 0 || now.Add(q.ahead(a)+q.takes(a)).After(a.Deadline) {
 		return nil, false
 	}
 	t = q.ticket(a)
 	if q.taken < q.places && len(q.waiting) == 0 {
-		q.admit(t)
+		q.admit(t, now)
 		return t, true
 	}
 	heap.Push(&q.waiting, t)
@@ -101,7 +130,7 @@
 			sum += t.ask.Service
 		}
 	}
-	return sum / time.Duration(q.places)
+	return time.Duration(float64(sum) * q.pace / float64(q.places))
 }
 
 func (q *Queue) startOf(a Ask) float64 { return max(q.virtual, q.finished[a.Customer]) }
@@ -117,10 +146,11 @@
 	return t
 }
 
-func (q *Queue) admit(t *Ticket) {
+func (q *Queue) admit(t *Ticket, now time.Time) {
 	q.taken++
 	q.virtual = max(q.virtual, t.start)
 	t.admitted = true
+	t.since = now
 	close(t.ready)
 }
 
@@ -152,11 +182,11 @@
 			panic("admit: the heap holds tickets only")
 		}
 		q.backlog -= t.ask.Service
-		if now.Add(t.ask.Service).After(t.ask.Deadline) {
+		if now.Add(q.takes(t.ask)).After(t.ask.Deadline) {
 			close(t.ready)
 			continue
 		}
-		q.admit(t)
+		q.admit(t, now)
 	}
 	if len(q.waiting) == 0 && q.taken == 0 {
 		// Nobody is owed anything.
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -235,3 +235,32 @@
 		}
 	})
 }
+
+// A queue learns how long requests take in truth, and refuses those that can't
+// be served in time at that pace.
+func TestAQueueLearnsThePace(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	q := admit.NewQueue(1)
+	now := start
+	ask := admit.Ask{Customer: "a", Service: service}
+	fits := func(deadline time.Duration) bool {
+		ask.Deadline = now.Add(deadline)
+		ticket, ok := q.Enter(ask, now)
+		if ok {
+			q.Abandon(ticket, now)
+		}
+		return ok
+	}
+	is.True(fits(2 * service))
+	for range 100 {
+		ask.Deadline = now.Add(time.Hour)
+		ticket, ok := q.Enter(ask, now)
+		is.True(ok)
+		now = now.Add(3 * service)
+		q.Served(ticket, now)
+		q.Leave(now)
+	}
+	is.True(!fits(2 * service))
+	is.True(fits(4 * service))
+}
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -148,8 +148,9 @@
 		return err
 	}
 	s.meter.Queued(req.Model.Name, time.Since(start))
-	defer leave()
-	return s.completer.Run(ctx, req, sink)
+	err = s.completer.Run(ctx, req, sink)
+	leave(err == nil)
+	return err
 }
 
 // whole gathers the answer and sends it at once.
--- a/caller/server.go
+++ b/caller/server.go
@@ -43,9 +43,9 @@
 type Gate interface {
 	// Arrive counts a request until depart is called.
 	Arrive() (depart func())
-	// Enter waits for a place of a model, which leave gives back; the error
-	// is an *outcome.Error of kind NotRun.
-	Enter(ctx context.Context, r completion.Request) (leave func(), err error)
+	// Enter waits for a place of a model, which leave gives back, once; the
+	// error is an *outcome.Error of kind NotRun.
+	Enter(ctx context.Context, r completion.Request) (leave func(served bool), err error)
 }
 
 // Rules returns the rule file in force.
@@ -253,6 +253,6 @@
 		took = time.Since(in.start)
 	}
 	s.meter.Answered(in.customer, in.class, o.Kind, o.Cause, took)
-	s.log.Info("caller: no answer", "request_id", in.id, "customer", in.customer, "class", in.class,
+	s.log.Info("caller: no answer", "request_id", in.id, "attempt", o.Attempt, "customer", in.customer, "class", in.class,
 		"kind", string(o.Kind), "cause", string(o.Cause), "message", o.Message)
 }
--- a/completion/runner.go
+++ b/completion/runner.go
@@ -120,7 +120,12 @@
 		avoid:    map[string]bool{}, avoidLinks: map[route.Link]bool{}, cached: map[string]route.Range{},
 		log: r.log.With("request_id", req.ID, "customer", req.Customer),
 	}
-	return x.attempts(ctx)
+	err := x.attempts(ctx)
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		o.Attempt = x.progress.attempt
+	}
+	return err
 }
 
 func (x *run) attempts(ctx context.Context) error {
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -56,7 +56,7 @@
 var _ delivery.Gate = callGate{}
 
 // Enter waits for a place for a call.
-func (g callGate) Enter(ctx context.Context, r delivery.Request) (func(), error) {
+func (g callGate) Enter(ctx context.Context, r delivery.Request) (func(bool), error) {
 	return g.d.gate.Enter(ctx, servicesPool, admit.Ask{
 		Customer: r.Customer, Priority: int(r.Class.Priority), Service: callTime, Deadline: r.Deadline,
 	}, g.d.keeper.Current().File, time.Now())
@@ -72,7 +72,7 @@
 
 // Enter waits for a place for a completion. While no engines serve the model,
 // it is let in to wait for a route.
-func (g streamGate) Enter(ctx context.Context, r completion.Request) (func(), error) {
+func (g streamGate) Enter(ctx context.Context, r completion.Request) (func(bool), error) {
 	view := g.d.directory.View()
 	flow := view.Flow(r.Model.Name, view.Version(r.Model), r.Model.Layers)
 	perToken := float64(flow.TokenTime()) * crowd[r.Model.Objective]
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -81,9 +81,9 @@
 
 // Gate admits calls.
 type Gate interface {
-	// Enter waits for a place, which leave gives back; the error is an
+	// Enter waits for a place, which leave gives back, once; the error is an
 	// *outcome.Error of kind NotRun.
-	Enter(ctx context.Context, r Request) (leave func(), err error)
+	Enter(ctx context.Context, r Request) (leave func(served bool), err error)
 }
 
 // Counter counts what went other than planned.
@@ -158,8 +158,9 @@
 	if err != nil {
 		return outcome.Answer{}, err
 	}
-	defer leave()
-	return d.race(ctx, r)
+	answer, err := d.race(ctx, r)
+	leave(err == nil)
+	return answer, err
 }
 
 // elsewhere passes a call on to the home of its key. If that does not answer,
@@ -237,8 +238,9 @@
 	if err != nil {
 		return outcome.Answer{}, err
 	}
-	defer leave()
-	return d.try(ctx, r)
+	answer, err := d.try(ctx, r)
+	leave(err == nil)
+	return answer, err
 }
 
 func (d *Deliverer) await(ctx context.Context, c *claim.Claimed, r Request) (outcome.Answer, error) {
@@ -336,6 +338,10 @@
 		RequestID: r.ID, Attempt: attempt, Key: r.Key, Method: r.Method, Path: r.Path,
 		ContentType: r.ContentType, Body: r.Body, Timeout: left,
 	})
+	if o := asOutcome(err); o != nil {
+		o.Attempt = attempt
+		err = o
+	}
 	// The loser of a race is not to blame.
 	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		d.Log.Warn("delivery: call failed", "request_id", r.ID, "attempt", attempt,
--- a/delivery/deliverer_test.go
+++ b/delivery/deliverer_test.go
@@ -42,7 +42,9 @@
 func (s *script) Add(string, claim.Result) {
 }
 
-func (s *script) Enter(context.Context, delivery.Request) (func(), error) { return func() {}, nil }
+func (s *script) Enter(context.Context, delivery.Request) (func(bool), error) {
+	return func(bool) {}, nil
+}
 
 func (s *script) Look(claim.Key) (claim.Result, bool) { return claim.Result{}, false }
 
--- a/delivery/world_test.go
+++ b/delivery/world_test.go
@@ -137,11 +137,11 @@
 func (h *host) Retried(string) {}
 
 // Enter refuses now and then.
-func (h *host) Enter(context.Context, delivery.Request) (func(), error) {
+func (h *host) Enter(context.Context, delivery.Request) (func(bool), error) {
 	if h.w.tape.next(8) == 1 {
 		return nil, &outcome.Error{Kind: outcome.NotRun, Cause: outcome.CauseLimit}
 	}
-	return func() {}, nil
+	return func(bool) {}, nil
 }
 
 // Send is the service, and the network before it.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -52,6 +52,8 @@
 	Op    string
 	Kind  Kind
 	Cause Cause
+	// Attempt is the number of the last attempt, or 0 if there was none.
+	Attempt int
 	// Field names what is wrong, for Invalid.
 	Field   string
 	Message string
