Share places among hosts by demand

Cause: each host had an equal part of the places at the engines. Callers choose hosts themselves, so a host with all of the load made it wait while places of the others were free. Change: parts of a pool are handed out by demand, by the broker that hands out parts of limits; a caller that is refused drops the other keys of that host.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -15,9 +15,11 @@
 	mu      sync.Mutex
 	pools   map[string]*Queue
 	buckets map[string]*bucket
-	// shares are the parts of customers' limits that this host has; a
-	// customer without one has all of it.
-	shares  map[string]float64
+	// shares are the parts of customers' limits, and of pools, that this host
+	// has.
+	shares map[string]float64
+	// asked counts the requests for places of each pool.
+	asked   map[string]int
 	present int
 	closed  bool
 }
@@ -31,7 +33,7 @@
 
 // NewGate returns a gate without pools.
 func NewGate() *Gate {
-	return &Gate{pools: map[string]*Queue{}, buckets: map[string]*bucket{}, shares: map[string]float64{}}
+	return &Gate{pools: map[string]*Queue{}, buckets: map[string]*bucket{}, shares: map[string]float64{}, asked: map[string]int{}}
 }
 
 // Size sets the number of places of a pool.
@@ -83,6 +85,7 @@
 		q = NewQueue(1)
 		g.pools[pool] = q
 	}
+	g.asked[pool]++
 	t, ok := q.Enter(a, now)
 	if !ok {
 		return nil, refuse(outcome.CauseDeadline, "the deadline can't be met now", q.Wait())
@@ -144,19 +147,32 @@
 	g.closed = true
 }
 
-// Share sets the part of a customer's limit that this host has, from 0 to 1.
-func (g *Gate) Share(customer string, part float64) {
+// Share sets the part of a customer's limit, or of a pool, that this host has,
+// from 0 to 1.
+func (g *Gate) Share(name string, part float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.shares[customer] = part
+	g.shares[name] = part
 }
 
-// Demand returns how many requests each limited customer has made since the
-// last call, refused ones included.
+// Part returns the part that Share set, or else the given one.
+func (g *Gate) Part(name string, other float64) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if part, ok := g.shares[name]; ok {
+		return part
+	}
+	return other
+}
+
+// Demand returns how many requests each limited customer has made, and how many
+// places of each pool were asked for, since the last call, refused ones
+// included.
 func (g *Gate) Demand() map[string]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	demand := map[string]int{}
+	demand := g.asked
+	g.asked = map[string]int{}
 	for customer, b := range g.buckets {
 		if b.asked > 0 {
 			demand[customer] = b.asked
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,8 +61,8 @@
 	orders  *control.Tracker
 	fence   int64
 	fenceAt time.Time
-	// asked is when each limited customer last had demand here; the loop of
-	// shareLimits alone uses it.
+	// asked is when each limited customer, and each pool, last had demand
+	// here; the loop of shareLimits alone uses it.
 	asked map[string]time.Time
 	// turn counts the turns of readStatuses, which alone uses it.
 	turn int
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -45,7 +45,8 @@
 	d.gate.Size(servicesPool, d.cfg.Limits.Calls, now)
 	for _, m := range d.keeper.Current().File.Models {
 		flow := view.Flow(m.Name, view.Version(m), m.Layers)
-		places := int(crowd[m.Objective]*flow.Concurrency()/float64(entries)) + 1
+		part := d.gate.Part(modelPool(m.Name), 1/float64(entries))
+		places := int(crowd[m.Objective]*flow.Concurrency()*part) + 1
 		d.gate.Size(modelPool(m.Name), min(places, d.cfg.Limits.Streams), now)
 	}
 }
@@ -82,40 +83,40 @@
 	}, g.d.keeper.Current().File, time.Now())
 }
 
-// shareLimits asks the host that is responsible for each customer for this
-// host's part of the customer's limit. While that does not answer, each host
-// has an equal part.
+// shareLimits asks the host that is responsible for each customer, and for each
+// pool, for this host's part of the limit or of the places. While that does not
+// answer, each host has an equal part.
 func (d *Daemon) shareLimits(ctx context.Context) {
 	d.broker.Expire(time.Now())
 	view := d.directory.View()
 	names := lo.Map(view.Entries, func(h platform.Host, _ int) string { return h.Name })
 	equal := 1 / float64(max(len(names), 1))
 	byHome := map[string]map[string]float64{}
-	for customer, n := range d.gate.Demand() {
-		home := gossip.Home(customer, names)
+	for name, n := range d.gate.Demand() {
+		home := gossip.Home(name, names)
 		if byHome[home] == nil {
 			byHome[home] = map[string]float64{}
 		}
-		byHome[home][customer] = float64(n)
-		d.asked[customer] = time.Now()
+		byHome[home][name] = float64(n)
+		d.asked[name] = time.Now()
 	}
-	for customer, at := range d.asked {
+	for name, at := range d.asked {
 		if time.Since(at) > shareLife {
-			// What this host has of a limit that it does not use lapses.
-			d.gate.Share(customer, equal)
-			delete(d.asked, customer)
+			// What this host does not use lapses.
+			d.gate.Share(name, equal)
+			delete(d.asked, name)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareEvery)
 	defer cancel()
 	for home, demand := range byHome {
 		shares := d.askShares(ctx, home, demand)
-		for customer := range demand {
-			share, ok := shares[customer]
+		for name := range demand {
+			share, ok := shares[name]
 			if !ok {
 				share = equal
 			}
-			d.gate.Share(customer, share)
+			d.gate.Share(name, share)
 		}
 	}
 }
@@ -136,10 +137,10 @@
 	return r.Shares
 }
 
-// grant answers for the customers that this host is responsible for.
+// grant answers for the customers and pools that this host is responsible for.
 func (d *Daemon) grant(ask *peer.Demand) map[string]float64 {
 	now := time.Now()
-	return lo.MapValues(ask.Rates, func(rate float64, customer string) float64 {
-		return d.broker.Grant(customer, ask.From, rate, now)
+	return lo.MapValues(ask.Rates, func(rate float64, name string) float64 {
+		return d.broker.Grant(name, ask.From, rate, now)
 	})
 }
--- a/load/request.go
+++ b/load/request.go
@@ -46,6 +46,8 @@
 		if kind != outcome.NotRun {
 			break
 		}
+		// The home may be stopping; its other keys would fare no better.
+		d.book.forget(home)
 		time.Sleep(sendPause)
 	}
 	d.tally.call(kind, time.Since(intended))
--- a/peer/message.go
+++ b/peer/message.go
@@ -32,8 +32,8 @@
 	Have rule.Version `cbor:"have,omitempty"`
 }
 
-// Demand is how many requests of limited customers a host had lately, of those
-// customers that the other host is responsible for.
+// Demand is how many requests a host had lately of each limited customer, and of
+// each pool, that the other host is responsible for.
 type Demand struct {
 	From  string             `cbor:"from"`
 	Rates map[string]float64 `cbor:"rates"`
@@ -69,7 +69,7 @@
 	Error  *outcome.Error  `cbor:"error,omitempty"`
 	Known  *Known          `cbor:"known,omitempty"`
 	Rules  *Rules          `cbor:"rules,omitempty"`
-	// Shares are parts of customers' limits, from 0 to 1.
+	// Shares are parts of customers' limits and of pools, from 0 to 1.
 	Shares   map[string]float64 `cbor:"shares,omitempty"`
 	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
 }
--- a/proof/policy_bench_test.go
+++ b/proof/policy_bench_test.go
@@ -24,9 +24,10 @@
 	}
 	capacity := bound(engines) / tokens
 	for _, row := range []struct {
-		name string
-		rate float64
-	}{{"half", 0.5}, {"once", 1}, {"twice", 2}} {
+		name   string
+		rate   float64
+		pinned bool
+	}{{"half", 0.5, false}, {"once", 1, false}, {"twice", 2, false}, {"once over one of two hosts", 1, true}} {
 		b.Run(row.name, func(b *testing.B) {
 			c := newCluster(b, 2, 1, engines, "-slots", "8", "-slowdown", "0", "-stage-timeout", "10s")
 			text := strings.Replace(rules, "objective=recovery deadline=30s", "objective=throughput deadline=4s", 1)
@@ -36,6 +37,9 @@
 				const d = 15 * time.Second
 				o := c.load(capacity*row.rate, d)
 				o.Calls, o.Checks, o.MaxTokens, o.Sends = 0, 0, tokens, 1
+				if row.pinned {
+					o.Seeds, o.Pinned = o.Seeds[:1], true
+				}
 				r := c.play(o, nil)
 				b.ReportMetric(float64(r.Whole)/d.Seconds()/capacity, "goodput")
 				b.ReportMetric(r.FirstToken.P95, "ms-first-token-p95")
