Roll adapters out, and let engines stand by

Cause: orders carried an adapter and a role, but nothing gave either. Change: a model's adapter is part of what engines hold, and rolled out as a version is; a rule keeps engines in standby, and back.

--- a/control/next.go
+++ b/control/next.go
@@ -15,6 +15,10 @@
 	MaxLayers int
 	// Changing is set while it carries out an order.
 	Changing bool
+	// Role is the one that it has, and Standby whether the rules want it to
+	// stand by.
+	Role    engine.Role
+	Standby bool
 }
 
 // Move is one order, yet without its fencing number, and why it is given.
@@ -64,8 +68,8 @@
 
 // Next returns up to limit changes, less those that are under way.
 func Next(m rule.Model, engines []Engine, limit int) []Move {
+	moves, engines := roles(engines)
 	p := newPlan(m, engines)
-	var moves []Move
 	for range limit - p.changing {
 		move, ok := p.roll()
 		if !ok {
@@ -248,7 +252,7 @@
 func (p *plan) move(e Engine, r route.Range, reason string) Move {
 	return Move{
 		Endpoint: e.Holding.Endpoint, Address: e.Holding.Address, Incarnation: e.Holding.Incarnation, Reason: reason,
-		Order: engine.Order{Model: p.model.Name, Version: p.model.Version, Layers: r},
+		Order: engine.Load(p.model.Name, p.model.Version, r),
 	}
 }
 
@@ -256,7 +260,7 @@
 func (p *plan) take(m Move) {
 	e := p.engines[m.Endpoint]
 	e.Holding.Model = m.Order.Model
-	e.Holding.Version = m.Order.Version
+	e.Holding.Version = m.Order.Release()
 	e.Holding.Layers = m.Order.Layers
 	p.engines[m.Endpoint] = e
 	p.out[m.Endpoint] = true
--- a/control/next_test.go
+++ b/control/next_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"bulrushshed/control"
+	"bulrushshed/engine"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -38,6 +39,7 @@
 				Endpoint: fmt.Sprintf("e%d", i), Slots: 8,
 				LayerTime: time.Duration(rapid.IntRange(1, 4).Draw(t, "time")) * 100 * time.Microsecond,
 			},
+			Role:      engine.RoleServe,
 			MaxLayers: rapid.SampledFrom([]int{5, 8, 10, 14, 20}).Draw(t, "layers"),
 		})
 	}
@@ -49,7 +51,8 @@
 	for _, m := range moves {
 		for i := range engines {
 			if h := &engines[i].Holding; h.Endpoint == m.Endpoint {
-				h.Model, h.Version, h.Layers = m.Order.Model, m.Order.Version, m.Order.Layers
+				h.Model, h.Version, h.Layers = m.Order.Model, m.Order.Release(), m.Order.Layers
+				engines[i].Role = m.Order.Role
 			}
 		}
 	}
--- a/control/tracker.go
+++ b/control/tracker.go
@@ -48,7 +48,8 @@
 		if pending {
 			e.Changing = true
 			e.Holding.Model = g.order.Model
-			e.Holding.Version = g.order.Version
+			e.Holding.Version = g.order.Release()
+			e.Role = g.order.Role
 			e.Holding.Layers = g.order.Layers
 		}
 		known = append(known, e)
@@ -59,6 +60,7 @@
 // over reports whether an order is done, or came to nothing.
 func (t *Tracker) over(e Engine, g given, now time.Time) bool {
 	h := e.Holding
-	done := !e.Changing && h.Model == g.order.Model && h.Version == g.order.Version && h.Layers == g.order.Layers
+	done := !e.Changing && h.Model == g.order.Model && h.Version == g.order.Release() &&
+		h.Layers == g.order.Layers && e.Role == g.order.Role
 	return done || h.Incarnation != g.incarnation || now.Sub(g.at) > forgetAfter
 }
--- a/control/tracker_test.go
+++ b/control/tracker_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"bulrushshed/control"
+	"bulrushshed/engine"
 	"bulrushshed/route"
 )
 
@@ -109,7 +110,7 @@
 func TestOnlyOneOfTwoMoves(t *testing.T) {
 	t.Parallel()
 	half := func(name string) control.Engine {
-		return control.Engine{MaxLayers: layers / 2, Holding: route.Holding{
+		return control.Engine{MaxLayers: layers / 2, Role: engine.RoleServe, Holding: route.Holding{
 			Endpoint: name, Model: "m", Version: "v1", Slots: 8, LayerTime: time.Millisecond,
 			Layers: route.Range{From: 0, To: layers / 2},
 		}}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -63,7 +63,10 @@
 		if !settled && !f.Endpoint(h.Name).Fences {
 			return nil
 		}
-		all = append(all, control.Engine{Holding: h.Holding, MaxLayers: h.MaxLayers, Changing: h.Changing})
+		all = append(all, control.Engine{
+			Holding: h.Holding, MaxLayers: h.MaxLayers, Changing: h.Changing,
+			Role: h.EngineRole, Standby: f.Endpoint(h.Name).Standby,
+		})
 	}
 	return all
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -131,6 +131,7 @@
 	}
 	d.drain(servers)
 	cancel()
+	d.wakeReader()
 	for _, done := range loops {
 		if err := <-done; err != nil {
 			d.log.Warn("daemon: loop failed", "cause", err.Error())
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -58,9 +58,14 @@
 	if d.reads() {
 		return
 	}
+	d.wakeReader()
+	time.Sleep(catchUp)
+}
+
+// wakeReader ends the wait before a slow read.
+func (d *Daemon) wakeReader() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
 	}
-	time.Sleep(catchUp)
 }
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -93,37 +94,42 @@
 	}
 }
 
-// exchange tells the partners what is new, and compares digests with one.
+// exchangePeriods bounds an exchange, in its periods: a partner that hangs must
+// not hold news up for the others.
+const exchangePeriods = 4
+
+// exchange tells the partners what is new, and compares digests with one, each
+// in its turn.
 func (d *Daemon) exchange(ctx context.Context) {
 	now := time.Now()
+	period := d.cfg.Times.GossipEvery.D()
+	ctx, cancel := context.WithTimeout(ctx, exchangePeriods*period)
+	defer cancel()
 	d.items.Expire(now)
 	entries := lo.SliceToMap(d.directory.View().Entries, func(h platform.Host) (string, platform.Host) { return h.Name, h })
 	partners := gossip.Partners(d.self.Host, lo.Keys(entries), fanout, now)
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.Times.Peer.D())
-	defer cancel()
-	if i, ok := d.items.Get(itemRules); ok && len(partners) > 0 && rule.Version(i.Stamp) > d.keeper.Current().Version {
-		// The host that told of the version did not give it.
-		d.pullRules(ctx, entries[partners[0]].Peer)
+	if len(partners) == 0 {
+		return
 	}
-	done := make(chan struct{}, len(partners))
+	d.pullMissed(ctx, entries[partners[0]].Peer)
+	turn := int(now.UnixNano()/int64(period)) % len(partners)
+	var exchanges sync.WaitGroup
 	for n, name := range partners {
 		x := d.items.News(len(entries))
-		compare := n == int(now.UnixNano()/int64(d.cfg.Times.GossipEvery))%len(partners)
-		if compare {
-			digest := d.items.Compare().Digest
-			x.Digest = digest
+		if n == turn {
+			x.Digest = d.items.Compare().Digest
 		}
-		if len(x.Items) == 0 && !compare {
-			done <- struct{}{}
-			continue
+		if len(x.Items) > 0 || x.Digest != nil {
+			exchanges.Go(func() { d.exchangeWith(ctx, entries[name].Peer, x) })
 		}
-		go func() {
-			defer func() { done <- struct{}{} }()
-			d.exchangeWith(ctx, entries[name].Peer, x)
-		}()
 	}
-	for range partners {
-		<-done
+	exchanges.Wait()
+}
+
+// pullMissed gets the rules if the host that told of a version did not give it.
+func (d *Daemon) pullMissed(ctx context.Context, address string) {
+	if i, ok := d.items.Get(itemRules); ok && rule.Version(i.Stamp) > d.keeper.Current().Version {
+		d.pullRules(ctx, address)
 	}
 }
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -6,6 +6,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
 
+	"bulrushshed/engine"
 	"bulrushshed/operator"
 	"bulrushshed/platform"
 	"bulrushshed/route"
@@ -79,6 +80,10 @@
 			why = "failed a request lately"
 		case !h.Reporting:
 			why = "sends no status"
+		case h.Changing:
+			why = "carries out an order"
+		case h.EngineRole == engine.RoleStandby:
+			why = "stands by, as the rules say"
 		case h.Holding.Model != m.Name || h.Holding.Version != view.Version(m):
 			why = "holds " + h.Holding.Model + " " + h.Holding.Version
 		case !r.Uses(h.Name):
--- a/directory/view.go
+++ b/directory/view.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"bulrushshed/engine"
 	"bulrushshed/platform"
 	"bulrushshed/route"
 	"bulrushshed/rule"
@@ -46,6 +47,8 @@
 	Holding   route.Holding `json:"holding"`
 	MaxLayers int           `json:"max_layers"`
 	Changing  bool          `json:"changing"`
+	// EngineRole is whether an engine takes new streams.
+	EngineRole engine.Role `json:"engine_role,omitempty"`
 }
 
 func newView(o Options, flows *flowCache) *View {
@@ -61,6 +64,8 @@
 		Holding:   k.status.Holding,
 		MaxLayers: k.status.MaxLayers,
 		Changing:  k.status.Changing,
+
+		EngineRole: k.status.Role,
 	}
 	v.Hosts = append(v.Hosts, s)
 	if s.Leaving || s.Suspected {
@@ -70,7 +75,7 @@
 	case platform.RoleEntry:
 		v.Entries = append(v.Entries, k.host)
 	case platform.RoleEngine:
-		if s.Reporting && !k.status.Changing {
+		if s.Reporting && !k.status.Changing && k.status.Role != engine.RoleStandby {
 			v.Holdings = append(v.Holdings, k.status.Holding)
 		}
 	case platform.RoleService:
--- a/engine/message.go
+++ b/engine/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -60,6 +61,7 @@
 	// Kind is the kind of accelerator.
 	Kind     string `json:"kind"`
 	Draining bool   `json:"draining"`
+	Role     Role   `json:"role"`
 	// MaxLayers is the number of layers that the engine can hold.
 	MaxLayers int `json:"max_layers"`
 	// Changing is set while the engine carries out an order and takes no new
@@ -78,10 +80,34 @@
 	Model   string      `json:"model"`
 	Version string      `json:"version"`
 	Adapter string      `json:"adapter,omitempty"`
-	Role    string      `json:"role,omitempty"`
+	Role    Role        `json:"role"`
 	Layers  route.Range `json:"layers"`
 }
 
+// Role says whether an engine takes new streams.
+type Role string
+
+// The roles of engines.
+const (
+	RoleServe   Role = "serve"
+	RoleStandby Role = "standby"
+)
+
+// Release is the version that an engine holds behind the order, joined with the
+// adapter if there is one.
+func (o Order) Release() string {
+	if o.Adapter == "" {
+		return o.Version
+	}
+	return o.Version + "+" + o.Adapter
+}
+
+// Load returns the order to hold layers of a release.
+func Load(model, release string, layers route.Range) Order {
+	version, adapter, _ := strings.Cut(release, "+")
+	return Order{Model: model, Version: version, Adapter: adapter, Role: RoleServe, Layers: layers}
+}
+
 // KVCache is the exported cache of one request on one engine.
 type KVCache struct {
 	RequestID string      `json:"request_id"`
--- a/proof/control_test.go
+++ b/proof/control_test.go
@@ -1,12 +1,15 @@
 package proof_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"bulrushshed/directory"
+	"bulrushshed/engine"
 	"bulrushshed/operator"
 	"bulrushshed/standin"
 )
@@ -115,6 +118,45 @@
 	is.True(c.inOrder(is) >= len(halves))
 }
 
+// Engines stand by while a rule says so, and an adapter is rolled out as a
+// version is.
+func TestRolesAndAdapters(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2, 1, halves)
+	standby := placed("v1") + "endpoint name=slow-* role=standby # platform team: spare parts\n"
+	c.version = c.publish(c.version, standby)
+	role := func(name string, want engine.Role) func() bool {
+		return func() bool {
+			for n := 1; n <= c.entries; n++ {
+				s, err := c.status(n)
+				if err != nil || !slices.ContainsFunc(s.Hosts, func(h directory.Standing) bool {
+					return h.Name == name && h.EngineRole == want && !h.Changing
+				}) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually("slow-1 stands by", role("slow-1", engine.RoleStandby))
+	c.eventually("slow-2 stands by", role("slow-2", engine.RoleStandby))
+	soundStreams(t, c.play(c.streamLoad(20, 2*time.Second), nil))
+	var w standin.Work
+	c.must(c.get("http://"+c.engine(2)+"/v1/streams", &w))
+	is.Equal(w, standin.Work{}) // no stream went to slow-1
+	c.version = c.publish(c.version, strings.Replace(placed("v1"), "version=v1", "version=v1 adapter=rota", 1))
+	c.eventually("slow-1 serves again", role("slow-1", engine.RoleServe))
+	o := c.streamLoad(20, 20*time.Second)
+	o.Versions = []string{"v1", "v1+rota"}
+	soundStreams(t, c.play(o, nil))
+	c.eventually("the adapter is rolled out", func() bool {
+		s, err := c.status(1)
+		return err == nil && holdsAll(s, "v1+rota")
+	})
+	c.inOrder(is)
+}
+
 // The holder of the lease is frozen again and again while versions change. No
 // engine carries out an order of the frozen holder once a new one has spoken,
 // whether it checks fencing numbers or not.
--- a/rule/file.go
+++ b/rule/file.go
@@ -52,7 +52,9 @@
 
 // Model names a model, the version in use and its number of layers.
 type Model struct {
-	Name      string        `json:"name"`
+	Name string `json:"name"`
+	// Version is the one in use, with a plus sign and the adapter behind it
+	// if there is one: engines hold both or neither.
 	Version   string        `json:"version"`
 	Layers    int           `json:"layers"`
 	Objective Objective     `json:"objective"`
@@ -68,7 +70,9 @@
 	Name       string `json:"name"`
 	Fences     bool   `json:"fences"`
 	HonorsKeys bool   `json:"honors_keys"`
-	Origin     Origin `json:"origin"`
+	// Standby keeps an engine out of service, with what it has loaded.
+	Standby bool   `json:"standby"`
+	Origin  Origin `json:"origin"`
 }
 
 // File is a parsed rule file; it is never changed after Parse returned it.
--- a/rule/parse_test.go
+++ b/rule/parse_test.go
@@ -32,6 +32,11 @@
 class path=/d service=d idempotent=maybe deadline=5s # o: w                    ### 1:36: got "maybe", want yes or no
 class path=/d service=d idempotent=no deadline=2h # o: w                       ### 1:48: got deadline "2h", want a time such as 5s, at most 1h0m0s
 class path=/d service=d idempotent=no deadline=5s priority=hgh # o: w          ### 1:60: got priority "hgh", did you mean "high"?
+model name=m version=v adapter=a layers=8 objective=throughput placement=auto # o: w ###
+model name=m version=v+a layers=8 objective=throughput # o: w                  ### 1:22: got "v+a", want a name without +
+model name=m version=v layers=8 objective=fast placement=atuo # o: w           ### 1:43: got objective "fast", want one of recovery, throughput; 1:58: got placement "atuo", did you mean "auto"?
+endpoint name=slow-* role=standby # o: w                                       ###
+endpoint name=slow-* role=sleep # o: w                                         ### 1:27: got role "sleep", did you mean "serve"?
 model name=m version=v layers=0 objective=recovery # o: w                      ### 1:31: got "0" layers, want 1 to 1024
 `
 
--- a/rule/verb.go
+++ b/rule/verb.go
@@ -66,17 +66,18 @@
 	},
 	"model": {
 		keys: map[string]reader{
-			"name": name, "version": name, "layers": layers, "objective": objective, "deadline": deadline, "placement": placement,
+			"name": name, "version": version, "layers": layers, "objective": objective, "deadline": deadline, "placement": placement, "adapter": version,
 		},
 		required: []string{"name", "version", "layers", "objective"},
 		add:      addModel,
 	},
 	"endpoint": {
-		keys:     map[string]reader{"name": name, "fences": yesNo, "honors_keys": yesNo},
+		keys:     map[string]reader{"name": name, "fences": yesNo, "honors_keys": yesNo, "role": role},
 		required: []string{"name"},
 		add: func(f *File, s settings, origin Origin) {
 			f.Endpoints = append(f.Endpoints, Endpoint{
-				Name: s.text("name"), Fences: s.yes("fences"), HonorsKeys: s.yes("honors_keys"), Origin: origin,
+				Name: s.text("name"), Fences: s.yes("fences"), HonorsKeys: s.yes("honors_keys"),
+				Standby: s.yes("role"), Origin: origin,
 			})
 		},
 	},
@@ -102,6 +103,9 @@
 		Objective: Objective(s.text("objective")), Deadline: s.time("deadline"),
 		Placed: s.yes("placement"), Origin: origin,
 	}
+	if adapter := s.text("adapter"); adapter != "" {
+		m.Version += "+" + adapter
+	}
 	if m.Deadline == 0 {
 		m.Deadline = defaultModelDeadline
 	}
@@ -129,6 +133,22 @@
 	return value{text: text}, ""
 }
 
+// version is a name without the sign that joins a version and an adapter.
+func version(text string) (value, string) {
+	if strings.Contains(text, "+") {
+		return value{}, fmt.Sprintf("got %q, want a name without +", text)
+	}
+	return name(text)
+}
+
+func role(text string) (value, string) {
+	names := []string{"serve", "standby"}
+	if !slices.Contains(names, text) {
+		return value{}, unknown("role", text, names)
+	}
+	return value{yes: text == "standby"}, ""
+}
+
 func path(text string) (value, string) {
 	if !strings.HasPrefix(text, "/") {
 		return value{}, fmt.Sprintf("got path %q, want one that starts with /", text)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,6 +53,7 @@
 	holding  route.Holding
 	draining bool
 	changing bool
+	role     engine.Role
 	fence    int64
 	// sequences holds the KV cache of each request that runs here.
 	sequences map[string]sequence
@@ -75,7 +76,7 @@
 // NewEngine returns an engine that holds what its options say.
 func NewEngine(o EngineOptions) *Engine {
 	return &Engine{
-		opts: o, holding: o.Holding,
+		opts: o, holding: o.Holding, role: engine.RoleServe,
 		batch:     batch{slots: o.Holding.Slots, slowdown: o.Slowdown},
 		cache:     newPrefixCache(o.CacheBlocks, o.EventLag, o.EventGap),
 		next:      jsonhttp.NewClient(jsonhttp.DefaultOptions()),
@@ -167,6 +168,7 @@
 	s := e.reported
 	s.Draining = e.draining
 	s.Changing = e.changing
+	s.Role = e.role
 	return s
 }
 
--- a/standin/order.go
+++ b/standin/order.go
@@ -56,7 +56,10 @@
 	for start := time.Now(); e.stepped(changeIdle) && time.Since(start) < changeMax; {
 		time.Sleep(drainPoll)
 	}
-	err := e.fetchWeights(o)
+	var err error
+	if o.Role != engine.RoleStandby {
+		err = e.fetchWeights(o)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.changing = false
@@ -64,8 +67,13 @@
 	if err != nil || e.opts.Fences && o.Fence < e.fence {
 		return
 	}
+	e.role = o.Role
+	if o.Role == engine.RoleStandby {
+		e.orders = append(e.orders, OrderRecord{Order: o, At: time.Now()})
+		return
+	}
 	e.holding.Model = o.Model
-	e.holding.Version = o.Version
+	e.holding.Version = o.Release()
 	e.holding.Layers = o.Layers
 	clear(e.sequences)
 	e.orders = append(e.orders, OrderRecord{Order: o, At: time.Now()})
