--- a/rule/parse_test.go
+++ b/rule/parse_test.go
@@ -36,7 +36,7 @@
 model name=m version=v+a layers=8 objective=throughput # o: w                  ### 1:22: got "v+a", want a name without +
 model name=m version=v layers=8 objective=fast placement=atuo # o: w           ### 1:43: got objective "fast", want one of recovery, throughput; 1:58: got placement "atuo", did you mean "auto"?
 endpoint name=slow-* role=standby # o: w                                       ###
-endpoint name=slow-* role=sleep # o: w                                         ### 1:27: got role "sleep", did you mean "serve"?
+endpoint name=slow-* role=stanby # o: w                                        ### 1:27: got role "stanby", did you mean "standby"?
 model name=m version=v layers=0 objective=recovery # o: w                      ### 1:31: got "0" layers, want 1 to 1024
 `
 
