--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -42,7 +42,6 @@
 	CauseKeyExpired  Cause = "key_expired"
 	CauseHomeGone    Cause = "home_gone"
 	CauseHomeSilent  Cause = "home_silent"
-	CauseLogDown     Cause = "log_down"
 	CauseCallerLeft  Cause = "caller_left"
 	CauseInterrupted Cause = "interrupted"
 )
--- a/peer/node.go
+++ b/peer/node.go
@@ -298,22 +298,3 @@
 	cfg.ServerName = addr.IP.String()
 	d.conn, d.err = n.transport.Dial(ctx, addr, cfg, quicConfig())
 }
-
-// Forget drops the connection to a peer that has gone.
-func (n *Node) Forget(address string) {
-	n.mu.Lock()
-	d, ok := n.conns[address]
-	delete(n.conns, address)
-	n.mu.Unlock()
-	if !ok {
-		return
-	}
-	select {
-	case <-d.done:
-		if d.conn != nil {
-			// The peer has gone; nothing is owed to it.
-			_ = d.conn.CloseWithError(0, "forgotten")
-		}
-	default:
-	}
-}
