Drop hosts that are gone though the list does not change again

Cause: since the list is read conditionally, an engine that it left out while it still reported stayed in the directory, and was asked for its status for good. Change: an unchanged list drops silent hosts, too. Proof: TestHostsThatAreGoneAreDropped; before, nothing dropped them.

--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -19,6 +19,7 @@
 	}
 	d.listFailure.Store("")
 	if tag == d.listTag && tag != "" {
+		d.directory.Unchanged(time.Now())
 		return
 	}
 	d.listTag = tag
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,13 +94,30 @@
 		d.listed[h.Name] = true
 		d.merge(h)
 	}
+	d.prune(now)
+	d.publish(now)
+}
+
+// Unchanged notes that the platform's list is the same as last time.
+func (d *Directory) Unchanged(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.prune(now) {
+		d.publish(now)
+	}
+}
+
+// prune drops the hosts that the list leaves out and that nobody hears of, and
+// reports whether there were any.
+func (d *Directory) prune(now time.Time) (dropped bool) {
 	for name, k := range d.hosts {
 		quiet := now.Sub(k.statusAt) > d.opts.StatusLife && now.Sub(k.newsAt) > d.opts.StatusLife
 		if !d.listed[name] && quiet {
 			delete(d.hosts, name)
+			dropped = true
 		}
 	}
-	d.publish(now)
+	return dropped
 }
 
 // merge keeps the line of the newest incarnation.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -159,3 +159,19 @@
 		})
 	}
 }
+
+// An engine that the list leaves out while it still reports is dropped once it
+// has been silent, though the list does not change again.
+func TestHostsThatAreGoneAreDropped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := directory.New(opts)
+	d.List([]platform.Host{host("e", 1, platform.StateLive)}, start)
+	d.Status("e", status("e", 1, "v", 0, 4), start)
+	d.List(nil, start.Add(time.Second))
+	is.Equal(len(d.View().Hosts), 1)
+	d.Unchanged(start.Add(2 * time.Second))
+	is.Equal(len(d.View().Hosts), 1)
+	d.Unchanged(start.Add(10 * time.Second))
+	is.Equal(len(d.View().Hosts), 0)
+}
