Let few hosts read the list of hosts, and tell the others what changed

Cause: every host read the platform's whole list; at the two-year size a change to its 13,200 lines would cost each of 400 hosts 2 MB. Change: in a fleet of over 12, the hosts that read the log read the list, too, and pass on the lines that changed; the others read it once a minute. Proof: TestALargeFleetHearsOfHosts, 16 hosts: all hear of a service that joins and of one that is gone, before they read the list again.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,9 +72,11 @@
 	joined atomic.Bool
 	// draining is set once, when a graceful stop begins.
 	draining atomic.Bool
-	// listTag is the tag of the platform's list as last read; the loop of
-	// readHosts alone uses it.
+	// listTag is the tag of the platform's list as last read at listAt, and
+	// lines are its lines; the loop of readHosts alone uses them.
 	listTag string
+	listAt  time.Time
+	lines   map[string]platform.Host
 	// listFailure is why the platform's list could not be read, or "".
 	listFailure atomic.Value
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -28,7 +28,7 @@
 
 // fleet is many entry hosts in this process, beside a platform.
 type fleet struct {
-	b        *testing.B
+	b        testing.TB
 	platform *platformhttp.Client
 	n        int
 	net      int
@@ -41,7 +41,7 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", f.net, 1+n/200, 1+n%200, port)
 }
 
-func newFleet(b *testing.B, n int) *fleet {
+func newFleet(b testing.TB, n int) *fleet {
 	b.Helper()
 	nets++
 	f := &fleet{b: b, n: n, net: nets}
@@ -70,7 +70,7 @@
 	return f
 }
 
-func must(b *testing.B, err error) {
+func must(b testing.TB, err error) {
 	b.Helper()
 	if err != nil {
 		b.Fatal(err)
--- /dev/null
+++ b/daemon/membership_test.go
@@ -0,0 +1,62 @@
+package daemon_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bulrushshed/directory"
+	"bulrushshed/platform"
+)
+
+const (
+	// largeFleet is more hosts than all read the platform's list.
+	largeFleet = 16
+	patience   = 50 * time.Second
+)
+
+func (f *fleet) eventually(what string, is func() bool) {
+	f.b.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.b.Fatalf("got no end of waiting, want that %s", what)
+		}
+	}
+}
+
+// all reports whether all hosts know, or none knows, a host.
+func (f *fleet) all(name string, known bool) bool {
+	for n := range f.n {
+		s, ok := f.status(n)
+		knows := slices.ContainsFunc(s.Hosts, func(h directory.Standing) bool { return h.Name == name })
+		if !ok || knows != known {
+			return false
+		}
+	}
+	return true
+}
+
+// In a large fleet few hosts read the platform's list. All others hear from
+// them of a host that joins, and of one that is gone, well before they read the
+// list again.
+func TestALargeFleetHearsOfHosts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, largeFleet)
+	f.eventually("all hosts know each other", func() bool {
+		for n := range f.n {
+			if s, ok := f.status(n); !ok || len(s.Hosts) < largeFleet {
+				return false
+			}
+		}
+		return true
+	})
+	joined := platform.Host{
+		Name: "service-1", Address: "127.0.0.1:1", Role: platform.RoleService, FailureDomain: "0",
+		State: platform.StateLive, Incarnation: 1, Serves: []string{"stock"},
+	}
+	f.eventually("all hear of the service", func() bool {
+		must(t, f.platform.Announce(joined))
+		return f.all(joined.Name, true)
+	})
+	f.eventually("all hear that it is gone", func() bool { return f.all(joined.Name, false) })
+}
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/lo"
 
 	"bulrushshed/directory"
@@ -20,13 +21,15 @@
 const (
 	itemRules  = "rules"
 	itemLeaves = "leave/"
+	itemHosts  = "host/"
+	itemGone   = "gone/"
 )
 
 const (
 	// fanout is the number of partners of a host.
 	fanout = 3
-	// leaveLife is how long news of a leave is passed on; the platform's
-	// list shows it by then.
+	// leaveLife is how long news of a leave, or of a changed line of the
+	// list, is passed on; each host has read the list by then.
 	leaveLife = 2 * time.Minute
 	// rulesLife is how long news of a version is passed on; a fresh host asks
 	// for the rules by itself.
@@ -70,6 +73,15 @@
 	}, time.Now())
 }
 
+// putItem passes on an item whose value is a line of the platform's list.
+func (d *Daemon) putItem(key string, stamp int64, h platform.Host) {
+	body, err := cbor.Marshal(h)
+	if err != nil {
+		panic(err)
+	}
+	d.items.Put(gossip.Item{Key: key, Stamp: stamp, Value: body, LifeMS: leaveLife.Milliseconds()}, time.Now())
+}
+
 // tellLeaving spreads that this host leaves, at once.
 func (d *Daemon) tellLeaving() {
 	n := directory.Leaving{Host: d.self.Host, Incarnation: d.self.Incarnation}
@@ -90,10 +102,26 @@
 		case strings.HasPrefix(i.Key, itemLeaves):
 			host := strings.TrimPrefix(i.Key, itemLeaves)
 			d.directory.Leave(directory.Leaving{Host: host, Incarnation: i.Stamp}, time.Now())
+		case strings.HasPrefix(i.Key, itemHosts), strings.HasPrefix(i.Key, itemGone):
+			d.learnLine(i)
 		}
 	}
 }
 
+// learnLine takes a line of the platform's list that another host has read.
+func (d *Daemon) learnLine(i gossip.Item) {
+	var h platform.Host
+	if err := cbor.Unmarshal(i.Value, &h); err != nil {
+		d.log.Warn("daemon: unreadable line", "key", i.Key, "cause", err.Error())
+		return
+	}
+	if strings.HasPrefix(i.Key, itemGone) {
+		d.directory.Gone(h.Name, h.Incarnation, time.Now())
+		return
+	}
+	d.directory.Update(h, time.Now())
+}
+
 // exchangePeriods bounds an exchange, in its periods: a partner that hangs must
 // not hold news up for the others.
 const exchangePeriods = 4
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -5,25 +5,67 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
+	"bulrushshed/gossip"
 	"bulrushshed/platform"
 )
 
-// readHosts takes the platform's list.
+// listEvery is the time between two reads of the list by a host that hears of
+// its changes from others.
+const listEvery = time.Minute
+
+// readHosts takes the platform's list. In a large fleet a few hosts do, and tell
+// the others what changed.
 func (d *Daemon) readHosts(context.Context) {
+	reads := d.reads()
+	if !reads && time.Since(d.listAt) < listEvery {
+		d.directory.Unchanged(time.Now())
+		return
+	}
 	hosts, tag, err := d.platform.Hosts(d.listTag)
 	if err != nil {
 		d.listFailure.Store(err.Error())
 		return
 	}
 	d.listFailure.Store("")
+	d.listAt = time.Now()
 	if tag == d.listTag && tag != "" {
-		d.directory.Unchanged(time.Now())
+		d.directory.Unchanged(d.listAt)
 		return
 	}
 	d.listTag = tag
-	d.directory.List(hosts, time.Now())
+	d.directory.List(hosts, d.listAt)
+	before := d.lines
+	d.lines = lo.SliceToMap(hosts, func(h platform.Host) (string, platform.Host) { return h.Name, h })
+	if reads && !gossip.AllRead(len(d.directory.View().Entries)) {
+		d.spreadHosts(before, d.lines)
+	}
+}
+
+// spreadHosts passes on how a list differs from the one before.
+func (d *Daemon) spreadHosts(before, now map[string]platform.Host) {
+	for name, h := range now {
+		if old, ok := before[name]; !ok || old.Incarnation != h.Incarnation || old.State != h.State {
+			d.putItem(itemHosts+name, lineStamp(h), h)
+		}
+	}
+	for name, h := range before {
+		if _, ok := now[name]; !ok {
+			d.putItem(itemGone+name, h.Incarnation, h)
+		}
+	}
+}
+
+// lineStamp orders the lines of one host: by incarnation, and a leaving one
+// behind a live one.
+func lineStamp(h platform.Host) int64 {
+	if h.State == platform.StateLeaving {
+		return 2*h.Incarnation + 1
+	}
+	return 2 * h.Incarnation
 }
 
 // announce keeps this host on the platform's list.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -98,6 +98,30 @@
 	d.publish(now)
 }
 
+// Update takes one line of the list that another host has read.
+func (d *Directory) Update(h platform.Host, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed[h.Name] = true
+	d.merge(h)
+	d.publish(now)
+}
+
+// Gone notes that the list leaves an incarnation of a host out, as another host
+// has read it.
+func (d *Directory) Gone(name string, incarnation int64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k, ok := d.hosts[name]
+	if !ok || k.host.Incarnation > incarnation {
+		return
+	}
+	delete(d.listed, name)
+	if d.prune(now) {
+		d.publish(now)
+	}
+}
+
 // Unchanged notes that the platform's list is the same as last time.
 func (d *Directory) Unchanged(now time.Time) {
 	d.mu.Lock()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -46,6 +46,10 @@
 list1 status1 leave1 status2           -> used
 list1 status1 list2 leave1 status2     -> used
 leave1 list1 status1                   -> not used
+update1 status1                        -> used
+list1 status1 gone1                    -> used
+list1 status1 silence gone1            -> not used
+list2 status2 gone1                    -> used
 leave2 list1 status1                   -> not used
 list2 status2 list1                    -> used
 list2 status2 status1                  -> used
@@ -72,6 +76,10 @@
 					d.Status("e", status("e", n, "v", 0, 4), now)
 				case "leave":
 					d.Leave(directory.Leaving{Host: "e", Incarnation: n}, now)
+				case "update":
+					d.Update(host("e", n, platform.StateLive), now)
+				case "gone":
+					d.Gone("e", n, now)
 				case "suspect":
 					d.Suspect("e", n, now)
 				case "wait":
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// smallFleet is the number of hosts up to which all read the log.
+	// smallFleet is the number of hosts up to which all read the platform.
 	smallFleet = 12
 	// readersPerDomain is the number of hosts of a failure domain that read
-	// the log at once in a larger fleet.
+	// it at once in a larger fleet.
 	readersPerDomain = 2
 )
 
@@ -21,11 +21,15 @@
 	FailureDomain string
 }
 
+// AllRead reports whether a fleet of n hosts is so small that all of them read
+// what the platform has.
+func AllRead(n int) bool { return n <= smallFleet }
+
 // Reads reports whether a host is one of those of its failure domain that read
-// the log as it grows, for all others. Each host works this out by itself; that
+// what the platform has as it changes, for all others. Each host works this out by itself; that
 // they may differ for a while does no harm.
 func Reads(self Member, all []Member) bool {
-	if len(all) <= smallFleet {
+	if AllRead(len(all)) {
 		return true
 	}
 	var own []string
