Give the membership test hosts that do not read the list

Cause: with ten failure domains each of the test's 16 hosts was a reader, so it passed with the passing on of lines switched off. Change: three failure domains in fleets under 50, as today. Proof: with the lines not passed on in a scratch copy it now fails.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -41,6 +41,14 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", f.net, 1+n/200, 1+n%200, port)
 }
 
+// domains is the number of failure domains: three of today, ten of a large fleet.
+func (f *fleet) domains() int {
+	if f.n < 50 {
+		return 3
+	}
+	return 10
+}
+
 func newFleet(b testing.TB, n int) *fleet {
 	b.Helper()
 	nets++
@@ -80,7 +88,7 @@
 func (f *fleet) settings(dir string, ca keys.Pair, n int, platformURL string) settings.Settings {
 	s := settings.Default()
 	s.Name = fmt.Sprintf("entry-%d", n)
-	s.FailureDomain = strconv.Itoa(n % 10)
+	s.FailureDomain = strconv.Itoa(n % f.domains())
 	s.CallerAddress, s.OperatorAddress, s.PeerAddress = f.address(n, 8080), f.address(n, 8081), f.address(n, 8082)
 	s.PlatformURL = platformURL
 	s.Log.Level = "error"
