Refuse nobody who is far below a shared limit

Cause: parts of a limit went by each host's count of one second. Ruled out: keys of hosts that stop (the log named the limit as the cause each time), the platform's outage (refusals came in the first seconds). Change: demand is smoothed, and a fifth of each limit is split in equal parts.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,9 +61,9 @@
 	orders  *control.Tracker
 	fence   int64
 	fenceAt time.Time
-	// asked is when each limited customer, and each pool, last had demand
-	// here; the loop of shareLimits alone uses it.
-	asked map[string]time.Time
+	// sharer is the demand for limits and pools here; the loop of
+	// shareLimits alone uses it.
+	sharer *admit.Sharer
 	// turn counts the turns of readStatuses, which alone uses it.
 	turn int
 	// wake makes a slow read of the log start at once.
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -91,32 +91,28 @@
 	view := d.directory.View()
 	names := lo.Map(view.Entries, func(h platform.Host, _ int) string { return h.Name })
 	equal := 1 / float64(max(len(names), 1))
+	demand, ended := d.sharer.Note(d.gate.Demand())
+	for _, name := range ended {
+		d.gate.Share(name, equal)
+	}
 	byHome := map[string]map[string]float64{}
-	for name, n := range d.gate.Demand() {
+	for name, rate := range demand {
 		home := gossip.Home(name, names)
 		if byHome[home] == nil {
 			byHome[home] = map[string]float64{}
 		}
-		byHome[home][name] = float64(n)
-		d.asked[name] = time.Now()
-	}
-	for name, at := range d.asked {
-		if time.Since(at) > shareLife {
-			// What this host does not use lapses.
-			d.gate.Share(name, equal)
-			delete(d.asked, name)
-		}
+		byHome[home][name] = rate
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareEvery)
 	defer cancel()
-	for home, demand := range byHome {
-		shares := d.askShares(ctx, home, demand)
-		for name := range demand {
-			share, ok := shares[name]
-			if !ok {
-				share = equal
+	for home, rates := range byHome {
+		granted := d.askShares(ctx, home, rates)
+		for name := range rates {
+			part := equal
+			if g, ok := granted[name]; ok {
+				part = admit.Part(g, len(names))
 			}
-			d.gate.Share(name, share)
+			d.gate.Share(name, part)
 		}
 	}
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -108,7 +108,7 @@
 		wake:     make(chan struct{}, 1),
 		gate:     admit.NewGate(),
 		broker:   admit.NewBroker(shareLife),
-		asked:    map[string]time.Time{},
+		sharer:   admit.NewSharer(),
 		meter:    meter.New(maxCustomers, maxClasses),
 		platform: platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 		engines:  enginehttp.NewClient(t.Peer.D()),
