Keep layers where they are through a momentary failure

Cause: an engine that failed one request counted as lost to placement for as long as it was suspected, a second or more; another would have been ordered to load its layers. Change: a suspected engine counts as lost once it has been silent for 2.5 s.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -18,6 +18,10 @@
 	// lease can be under way. Engines that take any order get none from a
 	// new holder before.
 	orderLife = 5 * time.Second
+	// lostAfter is how long a suspected engine is silent until its layers count
+	// as lost. One that failed a request but still reports will be back long
+	// before another could load them.
+	lostAfter = 2500 * time.Millisecond
 )
 
 // control gives engines the orders that the rules ask for, while this host
@@ -54,7 +58,8 @@
 	settled := time.Since(d.fenceAt) > orderLife
 	var all []control.Engine
 	for _, h := range d.directory.View().Hosts {
-		if h.Role != platform.RoleEngine || h.Leaving || !h.Reporting || h.Suspected {
+		lost := h.Leaving || !h.Reporting || h.Suspected && h.Silent > lostAfter
+		if h.Role != platform.RoleEngine || lost {
 			continue
 		}
 		if h.Holding.Model != "" && h.Holding.Model != m.Name {
--- a/directory/view.go
+++ b/directory/view.go
@@ -42,6 +42,8 @@
 	Leaving   bool `json:"leaving"`
 	Suspected bool `json:"suspected"`
 	Reporting bool `json:"reporting"`
+	// Silent is how long ago an engine's last status came.
+	Silent time.Duration `json:"silent"`
 	// Holding is what an engine holds, if it reports; MaxLayers is how much
 	// it can, and Changing whether it carries out an order.
 	Holding   route.Holding `json:"holding"`
@@ -61,6 +63,7 @@
 		Leaving:   k.leaving >= k.host.Incarnation,
 		Suspected: k.suspected(now),
 		Reporting: !k.statusAt.IsZero() && now.Sub(k.statusAt) <= o.StatusLife,
+		Silent:    now.Sub(k.statusAt),
 		Holding:   k.status.Holding,
 		MaxLayers: k.status.MaxLayers,
 		Changing:  k.status.Changing,
--- a/proof/control_test.go
+++ b/proof/control_test.go
@@ -118,6 +118,26 @@
 	is.True(c.inOrder(is) >= len(halves))
 }
 
+// An engine that fails requests for a moment is not given up: its layers stay
+// where they are.
+func TestAMomentaryFailureMovesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 2, 1, halves[:3], "-max-layers", "40")
+	c.version = c.publish(c.version, placed("v1"))
+	cut := func(delay int) func() {
+		return func() { c.fault("http://"+c.engine(0), standin.Fault{Links: map[string]int{"fast-2": delay}}) }
+	}
+	r := c.play(c.streamLoad(30, 6*time.Second), script{
+		{1 * time.Second, func() { c.freeze("fast-2") }},
+		{1700 * time.Millisecond, func() { c.thaw("fast-2") }},
+		{3 * time.Second, cut(-1)},
+		{3500 * time.Millisecond, cut(0)},
+	})
+	soundStreams(t, r)
+	is.Equal(c.inOrder(is), 0) // no order was given
+}
+
 // Engines stand by while a rule says so, and an adapter is rolled out as a
 // version is.
 func TestRolesAndAdapters(t *testing.T) {
