--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The packages whose tables goroutines share.
 shared := ./admit ./balance ./caller ./claim ./completion ./delivery ./directory ./gossip ./peer ./publication
 
-.PHONY: build demo test race lint prove bench
+.PHONY: build demo up test race lint prove bench
 
 build:
 	mkdir -p bin
@@ -14,6 +14,10 @@
 demo: build
 	bash scripts/demo.sh
 
+# The system of the demo, to try things on, until it is interrupted.
+up: build
+	bash scripts/up.sh
+
 test:
 	go test -count=1 $(skip) ./...
 
