Choose a model's version once for each view

Change: the version for new requests is worked out once for each frozen view. Two functions that nothing called are gone. Behaviour is the same. Not measured beyond the tests: go test ./proof ./daemon passes, and ./directory and ./route under the race detector.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,9 +81,6 @@
 	listFailure atomic.Value
 }
 
-// Home returns the daemon's host in its present incarnation.
-func (d *Daemon) Home() claim.Home { return d.self }
-
 // host is the daemon's line for the platform's list.
 func (d *Daemon) host() platform.Host {
 	state := platform.StateLive
--- a/directory/view.go
+++ b/directory/view.go
@@ -30,10 +30,12 @@
 	flows *flowCache
 	// links are the ways between endpoints to avoid.
 	links map[route.Link]bool
-	// maps holds a map for each model that a request asked for. It is the
-	// one part of a view that grows; what is in it never changes.
-	mu   sync.Mutex
-	maps map[mapKey]*route.Map
+	// maps holds a map, and chosen the version for new requests, for each
+	// model that a request asked for. They are the one part of a view that
+	// grows; what is in them never changes.
+	mu     sync.Mutex
+	maps   map[mapKey]*route.Map
+	chosen map[mapKey]string
 }
 
 // Standing is one host and whether it takes new work.
@@ -54,7 +56,7 @@
 }
 
 func newView(o Options, flows *flowCache) *View {
-	return &View{flows: flows, Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, links: map[route.Link]bool{}, costs: o.Costs}
+	return &View{flows: flows, Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, chosen: map[mapKey]string{}, links: map[route.Link]bool{}, costs: o.Costs}
 }
 
 func (v *View) add(k *known, now time.Time, o Options) {
@@ -130,6 +132,22 @@
 // the one that the rules name, once it carries enough; until then, the one
 // that carries the most.
 func (v *View) Version(m rule.Model) string {
+	key := mapKey{model: m.Name, version: m.Version, layers: m.Layers}
+	v.mu.Lock()
+	chosen, ok := v.chosen[key]
+	v.mu.Unlock()
+	if ok {
+		return chosen
+	}
+	chosen = v.choose(m)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.chosen[key] = chosen
+	return chosen
+}
+
+// choose looks at all that engines hold, so it is done once for a view.
+func (v *View) choose(m rule.Model) string {
 	own := v.Flow(m.Name, m.Version, m.Layers).Rate
 	best, most := m.Version, own
 	for _, other := range v.versions(m.Name) {
--- a/route/planner.go
+++ b/route/planner.go
@@ -69,9 +69,6 @@
 	return d.Sum64()
 }
 
-// Holdings returns the holdings of the map; they must not be changed.
-func (m *Map) Holdings() []Holding { return m.holdings }
-
 // Pick is what one request asks of a plan.
 type Pick struct {
 	// Avoid names endpoints that must not be used.
