--- a/balance/replica.go
+++ b/balance/replica.go
@@ -6,13 +6,13 @@
 	"github.com/samber/lo"
 
 	"bulrushshed/delivery"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 )
 
 // Pick draws two of the replicas that are not in tried, and returns the one
 // with less own work. Replicas in the own failure domain win a tie.
-func Pick(replicas []platform.Host, tried map[string]bool, work func(string) float64, domain string) (delivery.Replica, bool) {
-	left := lo.Filter(replicas, func(h platform.Host, _ int) bool { return !tried[h.Name] })
+func Pick(replicas []hostlog.Host, tried map[string]bool, work func(string) float64, domain string) (delivery.Replica, bool) {
+	left := lo.Filter(replicas, func(h hostlog.Host, _ int) bool { return !tried[h.Name] })
 	if len(left) == 0 {
 		return delivery.Replica{}, false
 	}
@@ -25,7 +25,7 @@
 	return delivery.Replica{Endpoint: best.Name, Address: best.Address, Incarnation: best.Incarnation}, true
 }
 
-func lighter(a, b platform.Host, work func(string) float64, domain string) platform.Host {
+func lighter(a, b hostlog.Host, work func(string) float64, domain string) hostlog.Host {
 	wa, wb := work(a.Name), work(b.Name)
 	if wb < wa || wb == wa && b.FailureDomain == domain && a.FailureDomain != domain {
 		return b
--- a/cmd/bulrushctl/hosts.go
+++ b/cmd/bulrushctl/hosts.go
@@ -10,10 +10,10 @@
 
 	"github.com/google/subcommands"
 
+	"bulrushshed/hostlog"
 	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
 	"bulrushshed/operator"
-	"bulrushshed/platform"
 )
 
 const (
@@ -103,13 +103,13 @@
 	}
 }
 
-func standing(leaving, suspected, reporting bool, role platform.Role) string {
+func standing(leaving, suspected, reporting bool, role hostlog.Role) string {
 	switch {
 	case leaving:
 		return "leaving"
 	case suspected:
 		return "failed lately"
-	case role == platform.RoleEngine && !reporting:
+	case role == hostlog.RoleEngine && !reporting:
 		return "sends no status"
 	}
 	return "live"
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bulrushshed/control"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/rule"
 )
 
@@ -59,7 +59,7 @@
 	var all []control.Engine
 	for _, h := range d.directory.View().Hosts {
 		lost := h.Leaving || !h.Reporting || h.Suspected && h.Silent > lostAfter
-		if h.Role != platform.RoleEngine || lost {
+		if h.Role != hostlog.RoleEngine || lost {
 			continue
 		}
 		if h.Holding.Model != "" && h.Holding.Model != m.Name {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,10 +21,10 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
+	"bulrushshed/hostlog"
 	"bulrushshed/meter"
 	"bulrushshed/operator"
 	"bulrushshed/peer"
-	"bulrushshed/platform"
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
 	"bulrushshed/settings"
@@ -76,19 +76,19 @@
 	// lines are its lines; the loop of readHosts alone uses them.
 	listTag string
 	listAt  time.Time
-	lines   map[string]platform.Host
+	lines   map[string]hostlog.Host
 	// listFailure is why the platform's list could not be read, or "".
 	listFailure atomic.Value
 }
 
 // host is the daemon's line for the platform's list.
-func (d *Daemon) host() platform.Host {
-	state := platform.StateLive
+func (d *Daemon) host() hostlog.Host {
+	state := hostlog.StateLive
 	if d.draining.Load() {
-		state = platform.StateLeaving
+		state = hostlog.StateLeaving
 	}
-	return platform.Host{
-		Name: d.cfg.Name, Address: d.cfg.CallerAddress, Peer: d.cfg.PeerAddress, Role: platform.RoleEntry,
+	return hostlog.Host{
+		Name: d.cfg.Name, Address: d.cfg.CallerAddress, Peer: d.cfg.PeerAddress, Role: hostlog.RoleEntry,
 		FailureDomain: d.cfg.FailureDomain, State: state, Incarnation: d.self.Incarnation,
 	}
 }
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -11,8 +11,8 @@
 	"bulrushshed/completion"
 	"bulrushshed/delivery"
 	"bulrushshed/gossip"
+	"bulrushshed/hostlog"
 	"bulrushshed/peer"
-	"bulrushshed/platform"
 	"bulrushshed/rule"
 )
 
@@ -89,7 +89,7 @@
 func (d *Daemon) shareLimits(ctx context.Context) {
 	d.broker.Expire(time.Now())
 	view := d.directory.View()
-	names := lo.Map(view.Entries, func(h platform.Host, _ int) string { return h.Name })
+	names := lo.Map(view.Entries, func(h hostlog.Host, _ int) string { return h.Name })
 	equal := 1 / float64(max(len(names), 1))
 	demand, ended := d.sharer.Note(d.gate.Demand())
 	for _, name := range ended {
--- a/daemon/home.go
+++ b/daemon/home.go
@@ -7,9 +7,9 @@
 
 	"bulrushshed/claim"
 	"bulrushshed/delivery"
+	"bulrushshed/hostlog"
 	"bulrushshed/outcome"
 	"bulrushshed/peer"
-	"bulrushshed/platform"
 )
 
 // homes passes calls on to the hosts that their keys name.
@@ -43,7 +43,7 @@
 // address finds the home in its own incarnation.
 func (h homes) address(home claim.Home) (string, error) {
 	for _, s := range h.d.directory.View().Hosts {
-		if s.Role != platform.RoleEntry || s.Name != home.Host {
+		if s.Role != hostlog.RoleEntry || s.Name != home.Host {
 			continue
 		}
 		if s.Incarnation > home.Incarnation {
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"bulrushshed/directory"
+	"bulrushshed/hostlog"
 	"bulrushshed/peer"
-	"bulrushshed/platform"
 )
 
 // joinEvery is the time between two looks for what a fresh host needs.
@@ -62,7 +62,7 @@
 	}
 	// The list may not show the own host yet.
 	if k.Hosts == nil {
-		k.Hosts = []platform.Host{d.host()}
+		k.Hosts = []hostlog.Host{d.host()}
 	}
 	return k
 }
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -8,8 +8,8 @@
 
 	"bulrushshed/claim"
 	"bulrushshed/delivery"
+	"bulrushshed/hostlog"
 	"bulrushshed/outcome"
-	"bulrushshed/platform"
 	"bulrushshed/publication"
 )
 
@@ -29,8 +29,8 @@
 var _ publication.Observer = (*Daemon)(nil)
 
 // Record folds the log's records that are no rules.
-func (d *Daemon) Record(r platform.Record) {
-	if r.Type != platform.RecordOutcomes {
+func (d *Daemon) Record(r hostlog.Record) {
+	if r.Type != hostlog.RecordOutcomes {
 		return
 	}
 	var b claim.Batch
@@ -75,7 +75,7 @@
 		panic(err)
 	}
 	id := fmt.Sprintf("%s-%d-%d", b.Home.Host, b.Home.Incarnation, b.Seq)
-	if _, err := d.platform.Append(platform.Entry{ID: id, Type: platform.RecordOutcomes, Body: body}); err != nil {
+	if _, err := d.platform.Append(hostlog.Entry{ID: id, Type: hostlog.RecordOutcomes, Body: body}); err != nil {
 		d.log.Debug("daemon: batch not appended", "seq", b.Seq, "cause", err.Error())
 		return false
 	}
--- a/daemon/lease.go
+++ b/daemon/lease.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"bulrushshed/hostlog"
 	"bulrushshed/lease"
-	"bulrushshed/platform"
 	"bulrushshed/publication"
 )
 
@@ -37,7 +37,7 @@
 	if err != nil {
 		panic(err)
 	}
-	_, err = d.platform.Append(platform.Entry{ID: r.ID, Type: platform.RecordLease, Body: body})
+	_, err = d.platform.Append(hostlog.Entry{ID: r.ID, Type: hostlog.RecordLease, Body: body})
 	if err != nil {
 		d.log.Debug("daemon: lease record not appended", "cause", err.Error())
 	}
@@ -63,7 +63,7 @@
 	if err != nil {
 		panic(err)
 	}
-	e := platform.Entry{ID: publication.NewID(), Type: platform.RecordCheckpoint, Body: body}
+	e := hostlog.Entry{ID: publication.NewID(), Type: hostlog.RecordCheckpoint, Body: body}
 	if _, err := d.platform.Append(e); err != nil {
 		d.log.Warn("daemon: checkpoint not appended", "cause", err.Error())
 	}
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bulrushshed/directory"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 )
 
 const (
@@ -50,9 +50,9 @@
 		}
 		return true
 	})
-	joined := platform.Host{
-		Name: "service-1", Address: "127.0.0.1:1", Role: platform.RoleService, FailureDomain: "0",
-		State: platform.StateLive, Incarnation: 1, Serves: []string{"stock"},
+	joined := hostlog.Host{
+		Name: "service-1", Address: "127.0.0.1:1", Role: hostlog.RoleService, FailureDomain: "0",
+		State: hostlog.StateLive, Incarnation: 1, Serves: []string{"stock"},
 	}
 	f.eventually("all hear of the service", func() bool {
 		must(t, f.platform.Announce(joined))
--- a/daemon/plan.go
+++ b/daemon/plan.go
@@ -9,7 +9,7 @@
 	"bulrushshed/completion"
 	"bulrushshed/delivery"
 	"bulrushshed/directory"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -85,7 +85,7 @@
 	return entries
 }
 
-func entry(h platform.Host) caller.Entry {
+func entry(h hostlog.Host) caller.Entry {
 	return caller.Entry{Name: h.Name, Address: h.Address, FailureDomain: h.FailureDomain}
 }
 
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -6,7 +6,7 @@
 	"github.com/samber/lo"
 
 	"bulrushshed/gossip"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/publication"
 )
 
@@ -27,7 +27,7 @@
 var _ publication.Log = pacedLog{}
 
 // Read returns records from an offset on, at the pace of this host's part.
-func (l pacedLog) Read(from int64, limit int, wait time.Duration) (platform.Page, error) {
+func (l pacedLog) Read(from int64, limit int, wait time.Duration) (hostlog.Page, error) {
 	if l.d.reads() {
 		return l.d.platform.Read(from, limit, wait)
 	}
@@ -47,7 +47,7 @@
 	if !d.joined.Load() {
 		return true
 	}
-	members := lo.Map(d.directory.View().Entries, func(h platform.Host, _ int) gossip.Member {
+	members := lo.Map(d.directory.View().Entries, func(h hostlog.Host, _ int) gossip.Member {
 		return gossip.Member{Name: h.Name, FailureDomain: h.FailureDomain}
 	})
 	return gossip.Reads(gossip.Member{Name: d.self.Host, FailureDomain: d.cfg.FailureDomain}, members)
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -11,8 +11,8 @@
 
 	"bulrushshed/directory"
 	"bulrushshed/gossip"
+	"bulrushshed/hostlog"
 	"bulrushshed/peer"
-	"bulrushshed/platform"
 	"bulrushshed/publication"
 	"bulrushshed/rule"
 )
@@ -74,7 +74,7 @@
 }
 
 // putItem passes on an item whose value is a line of the platform's list.
-func (d *Daemon) putItem(key string, stamp int64, h platform.Host) {
+func (d *Daemon) putItem(key string, stamp int64, h hostlog.Host) {
 	body, err := cbor.Marshal(h)
 	if err != nil {
 		panic(err)
@@ -110,7 +110,7 @@
 
 // learnLine takes a line of the platform's list that another host has read.
 func (d *Daemon) learnLine(i gossip.Item) {
-	var h platform.Host
+	var h hostlog.Host
 	if err := cbor.Unmarshal(i.Value, &h); err != nil {
 		d.log.Warn("daemon: unreadable line", "key", i.Key, "cause", err.Error())
 		return
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangePeriods*period)
 	defer cancel()
 	d.items.Expire(now)
-	entries := lo.SliceToMap(d.directory.View().Entries, func(h platform.Host) (string, platform.Host) { return h.Name, h })
+	entries := lo.SliceToMap(d.directory.View().Entries, func(h hostlog.Host) (string, hostlog.Host) { return h.Name, h })
 	partners := gossip.Partners(d.self.Host, lo.Keys(entries), fanout, now)
 	if len(partners) == 0 {
 		return
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -7,8 +7,8 @@
 	"github.com/rotisserie/eris"
 
 	"bulrushshed/engine"
+	"bulrushshed/hostlog"
 	"bulrushshed/operator"
-	"bulrushshed/platform"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -69,7 +69,7 @@
 		e.Route = &r
 	}
 	for _, h := range view.Hosts {
-		if h.Role != platform.RoleEngine {
+		if h.Role != hostlog.RoleEngine {
 			continue
 		}
 		why := ""
@@ -102,7 +102,7 @@
 	e.Class = &class
 	usable := 0
 	for _, h := range d.directory.View().Hosts {
-		if h.Role != platform.RoleService {
+		if h.Role != hostlog.RoleService {
 			continue
 		}
 		why := ""
@@ -123,7 +123,7 @@
 	}
 }
 
-func serves(h platform.Host, service string) bool {
+func serves(h hostlog.Host, service string) bool {
 	for _, s := range h.Serves {
 		if s == service {
 			return true
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -10,7 +10,7 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 )
 
 // listEvery is the time between two reads of the list by a host that hears of
@@ -39,14 +39,14 @@
 	d.listTag = tag
 	d.directory.List(hosts, d.listAt)
 	before := d.lines
-	d.lines = lo.SliceToMap(hosts, func(h platform.Host) (string, platform.Host) { return h.Name, h })
+	d.lines = lo.SliceToMap(hosts, func(h hostlog.Host) (string, hostlog.Host) { return h.Name, h })
 	if reads && !gossip.AllRead(len(d.directory.View().Entries)) {
 		d.spreadHosts(before, d.lines)
 	}
 }
 
 // spreadHosts passes on how a list differs from the one before.
-func (d *Daemon) spreadHosts(before, now map[string]platform.Host) {
+func (d *Daemon) spreadHosts(before, now map[string]hostlog.Host) {
 	for name, h := range now {
 		if old, ok := before[name]; !ok || old.Incarnation != h.Incarnation || old.State != h.State {
 			d.putItem(itemHosts+name, lineStamp(h), h)
@@ -61,8 +61,8 @@
 
 // lineStamp orders the lines of one host: by incarnation, and a leaving one
 // behind a live one.
-func lineStamp(h platform.Host) int64 {
-	if h.State == platform.StateLeaving {
+func lineStamp(h hostlog.Host) int64 {
+	if h.State == hostlog.StateLeaving {
 		return 2*h.Incarnation + 1
 	}
 	return 2 * h.Incarnation
@@ -101,7 +101,7 @@
 	}
 	for _, h := range d.directory.View().Hosts {
 		lost := h.Suspected || !h.Reporting
-		if h.Role == platform.RoleEngine && (all || lost) && ctx.Err() == nil {
+		if h.Role == hostlog.RoleEngine && (all || lost) && ctx.Err() == nil {
 			hosts <- h
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bulrushshed/engine"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/route"
 )
 
@@ -28,7 +28,7 @@
 
 // known is all that is known of one host.
 type known struct {
-	host platform.Host
+	host hostlog.Host
 	// leaving is the newest incarnation that is known to leave.
 	leaving int64
 	// status is an engine's report, and statusAt when it came.
@@ -57,7 +57,7 @@
 	if k.suspectAt.IsZero() {
 		return false
 	}
-	silent := k.host.Role == platform.RoleEngine && !k.statusAt.After(k.suspectAt)
+	silent := k.host.Role == hostlog.RoleEngine && !k.statusAt.After(k.suspectAt)
 	return now.Before(k.suspectUntil) || silent
 }
 
@@ -86,7 +86,7 @@
 func (d *Directory) View() *View { return d.view.Load() }
 
 // List takes the platform's list, which lags.
-func (d *Directory) List(hosts []platform.Host, now time.Time) {
+func (d *Directory) List(hosts []hostlog.Host, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.listed)
@@ -99,7 +99,7 @@
 }
 
 // Update takes one line of the list that another host has read.
-func (d *Directory) Update(h platform.Host, now time.Time) {
+func (d *Directory) Update(h hostlog.Host, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listed[h.Name] = true
@@ -145,7 +145,7 @@
 }
 
 // merge keeps the line of the newest incarnation.
-func (d *Directory) merge(h platform.Host) {
+func (d *Directory) merge(h hostlog.Host) {
 	k, ok := d.hosts[h.Name]
 	if !ok {
 		k = &known{}
@@ -158,7 +158,7 @@
 		k.renew()
 	}
 	k.host = h
-	if h.State == platform.StateLeaving {
+	if h.State == hostlog.StateLeaving {
 		k.leaving = max(k.leaving, h.Incarnation)
 	}
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -11,7 +11,7 @@
 
 	"bulrushshed/directory"
 	"bulrushshed/engine"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -21,8 +21,8 @@
 	opts  = directory.Options{StatusLife: 5 * time.Second, SuspectLife: time.Second}
 )
 
-func host(name string, incarnation int64, state platform.State) platform.Host {
-	return platform.Host{Name: name, Role: platform.RoleEngine, Incarnation: incarnation, State: state}
+func host(name string, incarnation int64, state hostlog.State) hostlog.Host {
+	return hostlog.Host{Name: name, Role: hostlog.RoleEngine, Incarnation: incarnation, State: state}
 }
 
 func status(name string, incarnation int64, version string, from, to int) engine.Status {
@@ -71,13 +71,13 @@
 				n := int64(word[len(word)-1] - '0')
 				switch strings.TrimRight(word, "12") {
 				case "list":
-					d.List([]platform.Host{host("e", n, platform.StateLive)}, now)
+					d.List([]hostlog.Host{host("e", n, hostlog.StateLive)}, now)
 				case "status":
 					d.Status("e", status("e", n, "v", 0, 4), now)
 				case "leave":
 					d.Leave(directory.Leaving{Host: "e", Incarnation: n}, now)
 				case "update":
-					d.Update(host("e", n, platform.StateLive), now)
+					d.Update(host("e", n, hostlog.StateLive), now)
 				case "gone":
 					d.Gone("e", n, now)
 				case "suspect":
@@ -109,7 +109,7 @@
 		var news []func(d *directory.Directory)
 		for n := int64(1); n <= 3; n++ {
 			news = append(news, func(d *directory.Directory) {
-				d.List([]platform.Host{host("e", n, platform.StateLive)}, start)
+				d.List([]hostlog.Host{host("e", n, hostlog.StateLive)}, start)
 				d.Status("e", status("e", n, "v", 0, 4), start)
 			})
 			if rapid.Bool().Draw(t, "leaves") {
@@ -147,10 +147,10 @@
 			t.Parallel()
 			is := is.New(t)
 			d := directory.New(opts)
-			var hosts []platform.Host
+			var hosts []hostlog.Host
 			for version, ranges := range map[string]string{"v1": c.old, "v2": c.now} {
 				for n := range strings.Fields(ranges) {
-					hosts = append(hosts, host(fmt.Sprint(version, n), 1, platform.StateLive))
+					hosts = append(hosts, host(fmt.Sprint(version, n), 1, hostlog.StateLive))
 				}
 			}
 			d.List(hosts, start)
@@ -174,7 +174,7 @@
 	t.Parallel()
 	is := is.New(t)
 	d := directory.New(opts)
-	d.List([]platform.Host{host("e", 1, platform.StateLive)}, start)
+	d.List([]hostlog.Host{host("e", 1, hostlog.StateLive)}, start)
 	d.Status("e", status("e", 1, "v", 0, 4), start)
 	d.List(nil, start.Add(time.Second))
 	is.Equal(len(d.View().Hosts), 1)
--- a/directory/view.go
+++ b/directory/view.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"bulrushshed/engine"
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -18,11 +18,11 @@
 // View is what was known at one time; nothing in it changes.
 type View struct {
 	// Entries are the entry hosts that take new work, by name.
-	Entries []platform.Host
+	Entries []hostlog.Host
 	// Holdings are what the engines that take new work hold, by endpoint.
 	Holdings []route.Holding
 	// Services are the replicas that take new work, by service and name.
-	Services map[string][]platform.Host
+	Services map[string][]hostlog.Host
 	// Hosts are all hosts with what stands against them.
 	Hosts []Standing
 
@@ -40,7 +40,7 @@
 
 // Standing is one host and whether it takes new work.
 type Standing struct {
-	platform.Host
+	hostlog.Host
 	Leaving   bool `json:"leaving"`
 	Suspected bool `json:"suspected"`
 	Reporting bool `json:"reporting"`
@@ -56,7 +56,7 @@
 }
 
 func newView(o Options, flows *flowCache) *View {
-	return &View{flows: flows, Services: map[string][]platform.Host{}, maps: map[mapKey]*route.Map{}, chosen: map[mapKey]string{}, links: map[route.Link]bool{}, costs: o.Costs}
+	return &View{flows: flows, Services: map[string][]hostlog.Host{}, maps: map[mapKey]*route.Map{}, chosen: map[mapKey]string{}, links: map[route.Link]bool{}, costs: o.Costs}
 }
 
 func (v *View) add(k *known, now time.Time, o Options) {
@@ -77,13 +77,13 @@
 		return
 	}
 	switch k.host.Role {
-	case platform.RoleEntry:
+	case hostlog.RoleEntry:
 		v.Entries = append(v.Entries, k.host)
-	case platform.RoleEngine:
+	case hostlog.RoleEngine:
 		if s.Reporting && !k.status.Changing && k.status.Role != engine.RoleStandby {
 			v.Holdings = append(v.Holdings, k.status.Holding)
 		}
-	case platform.RoleService:
+	case hostlog.RoleService:
 		for _, name := range k.host.Serves {
 			v.Services[name] = append(v.Services[name], k.host)
 		}
@@ -91,7 +91,7 @@
 }
 
 func (v *View) sort() {
-	byName := func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) }
+	byName := func(a, b hostlog.Host) int { return strings.Compare(a.Name, b.Name) }
 	slices.SortFunc(v.Entries, byName)
 	for _, replicas := range v.Services {
 		slices.SortFunc(replicas, byName)
--- a/platform/doc.go
+++ b/hostlog/doc.go
@@ -1,4 +1,4 @@
-// Package platform holds the records and lists of the platform that the
+// Package hostlog holds the records and lists of the platform that the
 // operators already run: an append-only log with offsets, a lagging list of
 // hosts, and the weight store.
-package platform
+package hostlog
--- a/platform/record.go
+++ b/hostlog/record.go
@@ -1,4 +1,4 @@
-package platform
+package hostlog
 
 import "encoding/json"
 
--- a/platform/seam.go
+++ b/hostlog/seam.go
@@ -1,4 +1,4 @@
-package platform
+package hostlog
 
 // Seam joins a snapshot of some state to the records of the log behind it.
 //
--- a/lease/seat.go
+++ b/lease/seat.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 )
 
 // Options are the times of a lease.
@@ -22,7 +22,7 @@
 	opts  Options
 	self  string
 	state State
-	seam  platform.Seam[Record]
+	seam  hostlog.Seam[Record]
 	// readAt is when the last accepted record was read here.
 	readAt time.Time
 	// began holds, for own records that are not read back yet, when their
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,8 +4,8 @@
 	"bulrushshed/delivery"
 	"bulrushshed/directory"
 	"bulrushshed/gossip"
+	"bulrushshed/hostlog"
 	"bulrushshed/outcome"
-	"bulrushshed/platform"
 	"bulrushshed/publication"
 	"bulrushshed/rule"
 )
@@ -59,7 +59,7 @@
 	Snapshot publication.Snapshot `cbor:"snapshot"`
 	// Hosts is the platform's list as the other host last read it, and
 	// Leaves what it knows of leaving hosts.
-	Hosts  []platform.Host     `cbor:"hosts"`
+	Hosts  []hostlog.Host      `cbor:"hosts"`
 	Leaves []directory.Leaving `cbor:"leaves"`
 }
 
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
+	"bulrushshed/hostlog"
 	"bulrushshed/jsonhttp"
-	"bulrushshed/platform"
 )
 
 // Kind says what sort of failure an Error is.
@@ -55,7 +55,7 @@
 }
 
 // Append adds an entry to the log and returns its offset.
-func (c *Client) Append(e platform.Entry) (int64, error) {
+func (c *Client) Append(e hostlog.Entry) (int64, error) {
 	var out appended
 	err := c.call("append", http.MethodPost, "/v1/log", e, &out)
 	return out.Offset, err
@@ -63,8 +63,8 @@
 
 // Read returns up to limit records from an offset on. The platform waits up
 // to wait for the first record to come.
-func (c *Client) Read(from int64, limit int, wait time.Duration) (platform.Page, error) {
-	var out platform.Page
+func (c *Client) Read(from int64, limit int, wait time.Duration) (hostlog.Page, error) {
+	var out hostlog.Page
 	path := fmt.Sprintf("/v1/log?from=%d&limit=%d&wait_ms=%d", from, limit, wait.Milliseconds())
 	err := c.call("read", http.MethodGet, path, nil, &out)
 	return out, err
@@ -72,12 +72,12 @@
 
 // hostList is the answer to a request for the hosts.
 type hostList struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []hostlog.Host `json:"hosts"`
 }
 
 // Hosts returns the platform's list of hosts with a tag of it. If the list still
 // is the one of an earlier tag, the list is nil and the tag the same.
-func (c *Client) Hosts(known string) (hosts []platform.Host, tag string, err error) {
+func (c *Client) Hosts(known string) (hosts []hostlog.Host, tag string, err error) {
 	r := jsonhttp.Request{Method: http.MethodGet, URL: c.base + "/v1/hosts", Timeout: c.timeout}
 	if known != "" {
 		r.Headers = map[string]string{"If-None-Match": known}
@@ -99,7 +99,7 @@
 }
 
 // Announce puts a host on the platform's list, or changes its line.
-func (c *Client) Announce(h platform.Host) error {
+func (c *Client) Announce(h hostlog.Host) error {
 	return c.call("announce", http.MethodPost, "/v1/hosts", h, nil)
 }
 
--- a/publication/keeper.go
+++ b/publication/keeper.go
@@ -9,19 +9,19 @@
 	"sync/atomic"
 	"time"
 
+	"bulrushshed/hostlog"
 	"bulrushshed/lease"
-	"bulrushshed/platform"
 	"bulrushshed/rule"
 )
 
 // Log reads the platform's log.
 type Log interface {
-	Read(from int64, limit int, wait time.Duration) (platform.Page, error)
+	Read(from int64, limit int, wait time.Duration) (hostlog.Page, error)
 }
 
 // Observer hears of each record that is no rule, in log order.
 type Observer interface {
-	Record(r platform.Record)
+	Record(r hostlog.Record)
 }
 
 // Options bound a keeper.
@@ -233,7 +233,7 @@
 }
 
 // take folds a page that was asked for from an offset, and returns the next.
-func (k *Keeper) take(page platform.Page, from int64, o Observer) int64 {
+func (k *Keeper) take(page hostlog.Page, from int64, o Observer) int64 {
 	now := time.Now()
 	k.apply(func() {
 		if page.First > from {
@@ -253,25 +253,25 @@
 }
 
 // record folds one record; one that can't be read counts for no host.
-func (k *Keeper) record(r platform.Record, now time.Time) {
+func (k *Keeper) record(r hostlog.Record, now time.Time) {
 	var err error
 	switch r.Type {
-	case platform.RecordPublication:
+	case hostlog.RecordPublication:
 		var p rule.Publication
 		if err = json.Unmarshal(r.Body, &p); err == nil {
 			k.publish(r.Offset, p, now)
 		}
-	case platform.RecordCheckpoint:
+	case hostlog.RecordCheckpoint:
 		var s Snapshot
 		if err = json.Unmarshal(r.Body, &s); err == nil {
 			k.restore(s, now)
 		}
-	case platform.RecordLease:
+	case hostlog.RecordLease:
 		var l lease.Record
 		if err = json.Unmarshal(r.Body, &l); err == nil {
 			k.seat.Read(r.Offset, l, now)
 		}
-	case platform.RecordOutcomes:
+	case hostlog.RecordOutcomes:
 	}
 	if err != nil {
 		k.log.Warn("publication: unreadable record", "offset", r.Offset, "cause", err.Error())
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -8,14 +8,14 @@
 	"fmt"
 	"time"
 
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/rule"
 )
 
 // Appender reads and appends to the platform's log.
 type Appender interface {
 	Log
-	Append(e platform.Entry) (int64, error)
+	Append(e hostlog.Entry) (int64, error)
 }
 
 // Kind says what sort of failure an Error is.
@@ -84,21 +84,21 @@
 	}
 }
 
-func appendStep(fold *rule.Fold, steps []Step, r platform.Record) []Step {
+func appendStep(fold *rule.Fold, steps []Step, r hostlog.Record) []Step {
 	switch r.Type {
-	case platform.RecordPublication:
+	case hostlog.RecordPublication:
 		var p rule.Publication
 		if json.Unmarshal(r.Body, &p) != nil {
 			return steps
 		}
 		verdict := fold.Publish(r.Offset, p)
 		return append(steps, Step{Offset: r.Offset, ID: p.ID, Author: p.Author, Base: p.Base, Verdict: verdict})
-	case platform.RecordCheckpoint:
+	case hostlog.RecordCheckpoint:
 		var s Snapshot
 		if json.Unmarshal(r.Body, &s) == nil {
 			fold.Restore(s.Rules)
 		}
-	case platform.RecordOutcomes, platform.RecordLease:
+	case hostlog.RecordOutcomes, hostlog.RecordLease:
 	}
 	return steps
 }
@@ -127,7 +127,7 @@
 	if err != nil {
 		return 0, &Error{Op: "marshal", Kind: KindFaulty, Cause: err}
 	}
-	entry := platform.Entry{ID: p.ID, Type: platform.RecordPublication, Body: body}
+	entry := hostlog.Entry{ID: p.ID, Type: hostlog.RecordPublication, Body: body}
 	if _, err := l.Append(entry); err != nil && !mayHaveRun(err) {
 		return 0, &Error{Op: "append", Kind: KindUnavailable, Cause: err}
 	}
--- a/rule/fold.go
+++ b/rule/fold.go
@@ -1,6 +1,6 @@
 package rule
 
-import "bulrushshed/platform"
+import "bulrushshed/hostlog"
 
 // Version is the log offset of the publication that was accepted; 0 means
 // that no file is in force. Offsets start at 1.
@@ -63,7 +63,7 @@
 	current InForce
 	// seam holds publications while records before them are missing, since
 	// one of those may have changed the version.
-	seam platform.Seam[Publication]
+	seam hostlog.Seam[Publication]
 }
 
 // NewFold returns a fold with no file in force.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,8 +8,8 @@
 	"github.com/gofiber/fiber/v3"
 
 	"bulrushshed/engine"
+	"bulrushshed/hostlog"
 	"bulrushshed/jsonhttp"
-	"bulrushshed/platform"
 	"bulrushshed/reference"
 	"bulrushshed/route"
 )
@@ -143,15 +143,15 @@
 }
 
 // Host returns the engine's line for the platform's list.
-func (e *Engine) Host() platform.Host {
+func (e *Engine) Host() hostlog.Host {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h := platform.Host{
-		Name: e.holding.Endpoint, Address: e.holding.Address, Role: platform.RoleEngine,
-		FailureDomain: e.holding.FailureDomain, State: platform.StateLive, Incarnation: e.holding.Incarnation,
+	h := hostlog.Host{
+		Name: e.holding.Endpoint, Address: e.holding.Address, Role: hostlog.RoleEngine,
+		FailureDomain: e.holding.FailureDomain, State: hostlog.StateLive, Incarnation: e.holding.Incarnation,
 	}
 	if e.draining {
-		h.State = platform.StateLeaving
+		h.State = hostlog.StateLeaving
 	}
 	return h
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
 
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 )
 
 // PlatformOptions bound the stand-in platform.
@@ -47,14 +47,14 @@
 }
 
 type kept struct {
-	record platform.Record
+	record hostlog.Record
 	at     time.Time
 }
 
 // listed is a host's line: the shown one, and the newest with its time.
 type listed struct {
-	shown  platform.Host
-	newest platform.Host
+	shown  hostlog.Host
+	newest hostlog.Host
 	since  time.Time
 	seen   time.Time
 }
@@ -80,7 +80,7 @@
 }
 
 func (p *Platform) serveAppend(c fiber.Ctx) error {
-	var e platform.Entry
+	var e hostlog.Entry
 	if err := c.Bind().JSON(&e); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
@@ -94,7 +94,7 @@
 	return c.JSON(fiber.Map{"offset": offset})
 }
 
-func (p *Platform) append(e platform.Entry, now time.Time) (int64, bool) {
+func (p *Platform) append(e hostlog.Entry, now time.Time) (int64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate := float64(p.opts.AppendRate)
@@ -105,7 +105,7 @@
 	}
 	p.tokens--
 	offset := p.first + int64(len(p.records))
-	p.records = append(p.records, kept{record: platform.Record{Offset: offset, Entry: e}, at: now})
+	p.records = append(p.records, kept{record: hostlog.Record{Offset: offset, Entry: e}, at: now})
 	close(p.grown)
 	p.grown = make(chan struct{})
 	return offset, true
@@ -129,7 +129,7 @@
 	return c.JSON(page)
 }
 
-func (p *Platform) read(from int64, limit int, now time.Time) (platform.Page, chan struct{}) {
+func (p *Platform) read(from int64, limit int, now time.Time) (hostlog.Page, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.records) > 0 && now.Sub(p.records[0].at) > p.opts.Retain {
@@ -139,7 +139,7 @@
 	from = max(from, p.first)
 	start := min(int(from-p.first), len(p.records))
 	end := min(start+limit, len(p.records))
-	page := platform.Page{First: p.first, Next: p.first + int64(end), Records: []platform.Record{}}
+	page := hostlog.Page{First: p.first, Next: p.first + int64(end), Records: []hostlog.Record{}}
 	for _, k := range p.records[start:end] {
 		page.Records = append(page.Records, k.record)
 	}
@@ -147,7 +147,7 @@
 }
 
 func (p *Platform) serveAnnounce(c fiber.Ctx) error {
-	var h platform.Host
+	var h hostlog.Host
 	if err := c.Bind().JSON(&h); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
@@ -155,7 +155,7 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-func (p *Platform) announce(h platform.Host, now time.Time) {
+func (p *Platform) announce(h hostlog.Host, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.hosts[h.Name]
@@ -168,7 +168,7 @@
 	p.hosts[h.Name] = l
 }
 
-func (p *Platform) shown(l listed, now time.Time) platform.Host {
+func (p *Platform) shown(l listed, now time.Time) hostlog.Host {
 	if now.Sub(l.since) >= p.opts.HostLag {
 		return l.newest
 	}
@@ -189,10 +189,10 @@
 	return c.Send(body)
 }
 
-func (p *Platform) list(now time.Time) []platform.Host {
+func (p *Platform) list(now time.Time) []hostlog.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hosts := []platform.Host{}
+	hosts := []hostlog.Host{}
 	for _, name := range slices.Sorted(maps.Keys(p.hosts)) {
 		l := p.hosts[name]
 		if now.Sub(l.seen) > p.opts.HostTTL {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -7,14 +7,14 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/platformhttp"
 )
 
 // Node is a stand-in that the platform lists as a host.
 type Node interface {
 	App() *fiber.App
-	Host() platform.Host
+	Host() hostlog.Host
 	Drain()
 	Busy() bool
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -9,7 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"bulrushshed/platform"
+	"bulrushshed/hostlog"
 	"bulrushshed/service"
 )
 
@@ -115,15 +115,15 @@
 }
 
 // Host returns the replica's line for the platform's list.
-func (s *Service) Host() platform.Host {
+func (s *Service) Host() hostlog.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := platform.Host{
-		Name: s.opts.Name, Address: s.opts.Address, Role: platform.RoleService, Serves: s.opts.Serves,
-		FailureDomain: s.opts.FailureDomain, State: platform.StateLive, Incarnation: s.opts.Incarnation,
+	h := hostlog.Host{
+		Name: s.opts.Name, Address: s.opts.Address, Role: hostlog.RoleService, Serves: s.opts.Serves,
+		FailureDomain: s.opts.FailureDomain, State: hostlog.StateLive, Incarnation: s.opts.Incarnation,
 	}
 	if s.draining {
-		h.State = platform.StateLeaving
+		h.State = hostlog.StateLeaving
 	}
 	return h
 }
