--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -18,6 +18,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&hostCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&defaultsCommand{}, "")
 	flag.Parse()
--- /dev/null
+++ b/daemon/hosted/group.go
@@ -0,0 +1,151 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bulrushshed/platform"
+)
+
+const (
+	// groupName names the group of all entry hosts.
+	groupName = "bulrushshed-hosts"
+	// joinEvery is the time between two heartbeats to the store, and joinLife
+	// how long a host that sends none is taken for alive.
+	joinEvery = 700 * time.Millisecond
+	joinLife  = 2500 * time.Millisecond
+	// leaseMargin is how much sooner a holder stops than others may begin.
+	leaseMargin = 700 * time.Millisecond
+	// memberFields is the number of fields of a member's name.
+	memberFields = 3
+)
+
+// groupTopics share out their partitions among the hosts; a host is a member
+// that others see as long as there are no more hosts than partitions.
+var groupTopics = []string{"hosts0", "hosts1", "hosts2", "hosts3"}
+
+// Peer is an entry host that takes requests.
+type Peer struct {
+	Address       string
+	FailureDomain string
+}
+
+// group is this host's part in the group of entry hosts. The member of the
+// first partition controls the engines; the group's generation is its fencing
+// number.
+type group struct {
+	host *Host
+	// member is the name by which others know this host.
+	member string
+
+	mu         sync.Mutex
+	generation int64
+	// seen is the generation that peers are of.
+	seen  int64
+	peers []Peer
+	// first is whether this host holds the first partition until a time, by
+	// the clock that counts suspension.
+	first bool
+	until time.Duration
+	left  bool
+}
+
+func newGroup(h *Host) *group {
+	started := time.Now().Format("150405.000000")
+	return &group{host: h, member: strings.Join([]string{h.cfg.CallerAddress, h.cfg.FailureDomain, started}, "|")}
+}
+
+// keep sends a heartbeat, and reads the members when they have changed. A host
+// joins once it can serve.
+func (g *group) keep(context.Context) {
+	if g.host.table.Load() == nil || g.host.stopping.Load() {
+		return
+	}
+	sent := bootTime()
+	m, err := g.host.store.Join(groupName, g.member, groupTopics, joinLife, g.generationNow())
+	if err != nil {
+		g.host.log.Debug("group: heartbeat failed", "cause", err.Error())
+		return
+	}
+	if !g.joined(m, sent) {
+		return
+	}
+	names, err := g.host.store.Members(groupName)
+	if err != nil {
+		g.host.log.Warn("group: members not read", "cause", err.Error())
+		return
+	}
+	g.learn(m.Generation, names)
+}
+
+func (g *group) generationNow() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.generation
+}
+
+// joined takes the answer to a heartbeat, and reports whether the members have
+// changed.
+func (g *group) joined(m platform.Membership, sent time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.First != g.first {
+		g.host.log.Info("group: control", "held", m.First, "generation", m.Generation)
+	}
+	g.generation = m.Generation
+	g.first = m.First
+	g.until = sent + joinLife - leaseMargin
+	return g.seen != m.Generation
+}
+
+func (g *group) learn(generation int64, names []string) {
+	var peers []Peer
+	for _, name := range names {
+		fields := strings.Split(name, "|")
+		if len(fields) == memberFields {
+			peers = append(peers, Peer{Address: fields[0], FailureDomain: fields[1]})
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
+	peers = slices.Compact(peers)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen = generation
+	g.peers = peers
+	g.host.log.Info("group: members", "hosts", len(peers), "generation", generation)
+}
+
+// size is the number of hosts that share the work, this one included.
+func (g *group) size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(len(g.peers), 1)
+}
+
+// members returns the hosts that take requests, as last known.
+func (g *group) members() []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers
+}
+
+// holds reports whether this host may give orders now, and its fencing number.
+func (g *group) holds() (fence int64, ok bool) {
+	now := bootTime()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.generation, g.first && !g.left && now < g.until
+}
+
+// leave tells the others that this host takes no more callers.
+func (g *group) leave() {
+	g.mu.Lock()
+	g.left = true
+	g.mu.Unlock()
+	if err := g.host.store.Leave(groupName, g.member); err != nil {
+		g.host.log.Warn("group: not left", "cause", err.Error())
+	}
+}
--- /dev/null
+++ b/daemon/hosted/host.go
@@ -0,0 +1,264 @@
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+
+	"bulrushshed/forward"
+	"bulrushshed/ingress"
+	"bulrushshed/ingresshttp"
+	"bulrushshed/meter"
+	"bulrushshed/pipeline"
+	"bulrushshed/platform"
+	"bulrushshed/replica"
+	"bulrushshed/settings"
+)
+
+const (
+	// storeTimeout bounds a call to the store that does not wait for news.
+	storeTimeout = 1200 * time.Millisecond
+	// lapse is how long entries that went missing in an outage of the store
+	// are trusted behind its end.
+	lapse = 1900 * time.Millisecond
+	// trustShare is the share of the time to revoke a key for which a proof
+	// of fresh configuration holds; the rest is for requests on their way.
+	trustShare = 0.7
+	// memoryShare is the share of the machine's memory that the heap may take
+	// before the collector works harder.
+	memoryShare = 0.6
+	// collectorPercent is how much the heap grows between two collections.
+	collectorPercent = 200
+	// maxCustomers and maxClasses bound the labels of metrics.
+	maxCustomers = 100
+	maxClasses   = 600
+	// stopMargin is left of the grace when a stopping host ends.
+	stopMargin = 700 * time.Millisecond
+	// linger is the least time that a stopping host goes on to serve, for
+	// callers that keep addresses for long.
+	pollStop = 100 * time.Millisecond
+)
+
+// Host is one entry host on the platform.
+type Host struct {
+	cfg   settings.Host
+	log   *slog.Logger
+	lines *lineWriter
+
+	store    *platform.Store
+	engines  platform.Replicas
+	table    atomic.Pointer[ingress.Table]
+	fresh    *ingress.Freshness
+	replicas *replica.List
+	picker   *replica.Picker
+	planner  *pipeline.Planner
+	group    *group
+	meter    *meter.Meter
+	callers  *ingresshttp.Server
+	control  *controller
+
+	// present counts requests that are being served.
+	present atomic.Int64
+	// stopping is set once, when a graceful stop begins.
+	stopping atomic.Bool
+}
+
+// Wire returns an injector that makes a host of its settings.
+func Wire(cfg settings.Host) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, cfg)
+	do.Provide(i, newHost)
+	return i
+}
+
+func newHost(i do.Injector) (*Host, error) {
+	cfg := do.MustInvoke[settings.Host](i)
+	lines := newLineWriter(os.Stdout)
+	h := &Host{
+		cfg: cfg, lines: lines, log: newLogger(cfg, lines),
+		store:    platform.NewStore(cfg.StoreAddress, storeTimeout),
+		fresh:    ingress.NewFreshness(time.Duration(trustShare*float64(cfg.Revoke.D())), bootTime),
+		replicas: replica.NewList(lapse),
+		picker:   replica.NewPicker(cfg.FailureDomain),
+		meter:    meter.New(maxCustomers, maxClasses),
+	}
+	h.group = newGroup(h)
+	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, Hosts: h.group.size})
+	h.control = newController(h)
+	h.callers = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
+		Read: platform.DecodeRequest, Passed: platform.Passed, Stopping: h.stopping.Load, Log: h.log,
+	}, counted{h, forward.New(forward.Parts{
+		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Upstream: h.engines,
+		Budget: forward.NewBudget(forward.BudgetOptions{
+			Ratio: cfg.RetryRatio * budgetShare, Extra: cfg.RetryExtra * budgetShare, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
+		}),
+		Counter: h.meter, Log: h.log,
+	})})
+	h.gauges()
+	return h, nil
+}
+
+// budgetShare is the part of the budget for repeats that is used; the rest is
+// for hosts whose views of the group differ.
+const budgetShare = 0.8
+
+func newLogger(cfg settings.Host, w *lineWriter) *slog.Logger {
+	var level slog.Level
+	// The settings were checked, so the level is one that slog knows.
+	_ = level.UnmarshalText([]byte(cfg.Log.Level))
+	opts := &slog.HandlerOptions{Level: level}
+	if cfg.Log.Format == "text" {
+		return slog.New(slog.NewTextHandler(w, opts)).With("host", cfg.Name)
+	}
+	return slog.New(slog.NewJSONHandler(w, opts)).With("host", cfg.Name)
+}
+
+func (h *Host) gauges() {
+	h.meter.Gauge("bulrushshed_config_version", func() float64 {
+		if t := h.table.Load(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	h.meter.Gauge("bulrushshed_config_age_seconds", func() float64 {
+		_, age := h.fresh.Fresh()
+		return age.Seconds()
+	})
+	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.present.Load()) })
+	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
+	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.lines.dropped.Load()) })
+}
+
+// Table implements forward.Tables.
+func (h *Host) Table() (t *ingress.Table, fresh bool) {
+	fresh, _ = h.fresh.Fresh()
+	return h.table.Load(), fresh
+}
+
+// counted counts the requests that are being served.
+type counted struct {
+	host *Host
+	next ingresshttp.Forwarder
+}
+
+// Do implements ingresshttp.Forwarder.
+func (c counted) Do(ctx context.Context, req *forward.Request) *forward.Response {
+	c.host.present.Add(1)
+	resp := c.next.Do(ctx, req)
+	if !resp.Streaming {
+		c.host.present.Add(-1)
+		return resp
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, host: c.host}
+	return resp
+}
+
+// Run serves until stop ends, and then stops gracefully. The injector holds
+// what Wire provided.
+func Run(stop context.Context, i do.Injector) error {
+	h, err := do.Invoke[*Host](i)
+	if err != nil {
+		return err
+	}
+	defer h.lines.flush()
+	debug.SetMemoryLimit(int64(memoryShare * float64(h.cfg.MemoryMB) * math.Pow(2, 20)))
+	debug.SetGCPercent(collectorPercent)
+	work, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	failed := make(chan error, 4)
+	if err := h.serve(failed); err != nil {
+		return err
+	}
+	loops := []<-chan error{
+		h.follow(work, h.configFollower()),
+		h.follow(work, h.replicaFollower()),
+		every(work, joinEvery, h.group.keep),
+		every(work, controlEvery, h.control.turn),
+		every(work, tidyEvery, h.tidy),
+	}
+	h.log.Info("host: serving", "callers", h.cfg.CallerAddress, "store", h.cfg.StoreAddress, "domain", h.cfg.FailureDomain)
+	select {
+	case <-stop.Done():
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	}
+	h.drain()
+	cancel()
+	for _, done := range loops {
+		if err := <-done; err != nil {
+			h.log.Warn("host: loop failed", "cause", err.Error())
+		}
+	}
+	h.log.Info("host: stopped")
+	return nil
+}
+
+// serve opens all addresses; failed carries the end of each server.
+func (h *Host) serve(failed chan<- error) error {
+	for _, s := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{h.cfg.DirectoryAddress, h.serveDirectory},
+		{h.cfg.ReadyAddress, h.serveReady},
+		{h.cfg.MetricsAddress, h.serveMetrics},
+		{h.cfg.CallerAddress, h.callers.Serve},
+	} {
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		go func() { failed <- s.serve(ln) }()
+	}
+	return nil
+}
+
+// drain leaves the group and serves on until callers are done, or the grace
+// ends.
+func (h *Host) drain() {
+	began := time.Now()
+	h.stopping.Store(true)
+	h.log.Info("host: stopping", "requests", h.present.Load())
+	go h.group.leave()
+	for time.Since(began) < h.cfg.Grace.D()-stopMargin {
+		time.Sleep(pollStop)
+	}
+	h.log.Info("host: drained", "requests_cut", h.present.Load(), "took_ms", time.Since(began).Milliseconds())
+}
+
+// every calls f at once and then each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func(ctx context.Context)) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		t := time.NewTicker(period)
+		defer t.Stop()
+		for ctx.Err() == nil {
+			f(ctx)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// tidyEvery is the time between two looks for what is no longer needed.
+const tidyEvery = 500 * time.Millisecond
+
+// tidy ends the trust in entries that have been missing for too long.
+func (h *Host) tidy(context.Context) {
+	if h.replicas.Lapsing() {
+		h.replicas.Expire(time.Now())
+	}
+	h.picker.Keep(h.replicas.View())
+}
--- /dev/null
+++ b/daemon/hosted/serve.go
@@ -0,0 +1,100 @@
+package hosted
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"bulrushshed/platform"
+)
+
+const (
+	// addressesValid is how long callers may keep addresses.
+	addressesValid = 2 * time.Second
+	// enoughNear is the number of hosts in a caller's own failure domain that
+	// suffice for it.
+	enoughNear = 2
+	// maxAddresses bounds an answer.
+	maxAddresses = 64
+	// sideTimeout bounds the small servers' reads and writes.
+	sideTimeout = 5 * time.Second
+	sideIdle    = 30 * time.Second
+)
+
+// sideServer serves one small call beside the callers' requests.
+func sideServer(handle fasthttp.RequestHandler) func(net.Listener) error {
+	s := &fasthttp.Server{
+		Handler: handle, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout, IdleTimeout: sideIdle,
+		NoDefaultServerHeader: true, Logger: quiet{},
+	}
+	return s.Serve
+}
+
+// quiet drops the server's own lines, which tell of broken connections only.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// ready reports whether the host takes requests.
+func (h *Host) ready() bool {
+	_, fresh := h.Table()
+	return h.table.Load() != nil && fresh && !h.stopping.Load()
+}
+
+func (h *Host) serveReady(ln net.Listener) error {
+	return sideServer(func(ctx *fasthttp.RequestCtx) {
+		switch {
+		case string(ctx.Path()) != platform.PathReady:
+			ctx.SetStatusCode(http.StatusNotFound)
+		case !h.ready():
+			ctx.SetStatusCode(http.StatusServiceUnavailable)
+		}
+	})(ln)
+}
+
+func (h *Host) serveMetrics(ln net.Listener) error {
+	return sideServer(func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })(ln)
+}
+
+func (h *Host) serveDirectory(ln net.Listener) error {
+	return sideServer(func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != platform.PathAddresses {
+			ctx.SetStatusCode(http.StatusNotFound)
+			return
+		}
+		all := h.addresses(string(ctx.QueryArgs().Peek(platform.QueryFailureDomain)))
+		if len(all) == 0 {
+			ctx.SetStatusCode(http.StatusServiceUnavailable)
+			return
+		}
+		body, err := platform.EncodeAddresses(all, min(addressesValid, h.cfg.AddressesValidMax.D()))
+		if err != nil {
+			h.log.Error("directory: no answer", "cause", err.Error())
+			ctx.SetStatusCode(http.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	})(ln)
+}
+
+// addresses returns the hosts that a caller in a failure domain should use.
+func (h *Host) addresses(domain string) []string {
+	peers := h.group.members()
+	if len(peers) == 0 && h.ready() {
+		return []string{h.cfg.CallerAddress}
+	}
+	near := lo.Filter(peers, func(p Peer, _ int) bool { return p.FailureDomain == domain })
+	if len(near) >= enoughNear {
+		peers = near
+	}
+	all := lo.Map(peers, func(p Peer, _ int) string { return p.Address })
+	if h.stopping.Load() {
+		all = slices.DeleteFunc(all, func(a string) bool { return a == h.cfg.CallerAddress })
+	}
+	return all[:min(len(all), maxAddresses)]
+}
--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// budgetParts is the number of parts in which a window is counted.
+const budgetParts = 10
+
+// BudgetOptions bound the sends beyond the first of each request.
+type BudgetOptions struct {
+	// Ratio is the share of requests that may be sent once more.
+	Ratio float64
+	// Extra is how many more may be, in a window, by all hosts together.
+	Extra  float64
+	Window time.Duration
+	// Hosts returns the number of hosts that share Extra.
+	Hosts func() int
+}
+
+// Budget bounds how many sends to a service are repeats. Each host keeps to its
+// own requests and its part of the extra, so that the sum is kept without
+// asking anybody. It is safe for concurrent use.
+type Budget struct {
+	opts BudgetOptions
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// window counts the requests and the repeats of the last parts.
+type window struct {
+	requests [budgetParts]float64
+	repeats  [budgetParts]float64
+	// at is the number of the newest part.
+	at int64
+}
+
+// NewBudget returns a budget that has counted nothing.
+func NewBudget(opts BudgetOptions) *Budget {
+	return &Budget{opts: opts, services: map[string]*window{}}
+}
+
+func (b *Budget) window(service string, now time.Time) *window {
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{}
+		b.services[service] = w
+	}
+	part := now.UnixNano() / int64(b.opts.Window/budgetParts)
+	for steps := 0; w.at < part && steps < budgetParts; steps++ {
+		w.at = max(w.at+1, part-budgetParts+1)
+		w.requests[w.at%budgetParts] = 0
+		w.repeats[w.at%budgetParts] = 0
+	}
+	w.at = max(w.at, part)
+	return w
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.requests[w.at%budgetParts]++
+}
+
+// Repeat reports whether a request may be sent once more, and counts it if so.
+func (b *Budget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	sum, spent := 0.0, 0.0
+	for i := range budgetParts {
+		sum += w.requests[i]
+		spent += w.repeats[i]
+	}
+	allowed := b.opts.Ratio*sum + b.opts.Extra/float64(max(b.opts.Hosts(), 1))
+	if spent+1 > allowed {
+		return false
+	}
+	w.repeats[w.at%budgetParts]++
+	return true
+}
--- /dev/null
+++ b/forward/events.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 1 << 18
+
+// event is one event of a stream, with the blank line that ends it.
+type event struct {
+	bytes []byte
+	// id is the event's number, and numbered whether it has one.
+	id       int64
+	numbered bool
+	// err is the end of the stream: io.EOF if it is whole.
+	err error
+}
+
+// readEvents reads events until the stream ends, and hands each over with its
+// end. It stops early when done is closed.
+func readEvents(body io.Reader, out chan<- event, done <-chan struct{}) {
+	r := bufio.NewReaderSize(body, 4096)
+	for {
+		e := readEvent(r)
+		select {
+		case out <- e:
+		case <-done:
+			return
+		}
+		if e.err != nil {
+			return
+		}
+	}
+}
+
+// readEvent reads up to the next blank line. Bytes that a broken stream leaves
+// behind are no event, and end it.
+func readEvent(r *bufio.Reader) event {
+	var e event
+	for {
+		line, err := r.ReadSlice('\n')
+		e.bytes = append(e.bytes, line...)
+		switch {
+		case err == bufio.ErrBufferFull && len(e.bytes) < maxEvent:
+			continue
+		case err == io.EOF && len(e.bytes) > 0:
+			e.err = io.ErrUnexpectedEOF
+			return e
+		case err != nil:
+			e.err = err
+			return e
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 && len(e.bytes) > len(line) {
+			return e
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id, err = strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
+			e.numbered = err == nil
+		}
+	}
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,193 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"bulrushshed/ingress"
+	"bulrushshed/outcome"
+	"bulrushshed/pipeline"
+	"bulrushshed/replica"
+)
+
+const (
+	// leastLeft is the time below which a request is not sent any more.
+	leastLeft = 20 * time.Millisecond
+	// soon and later bound the spread of times at which refused callers come
+	// back: soon where another replica may serve them at once, later where a
+	// place must come free first.
+	soon  = 100 * time.Millisecond
+	later = 600 * time.Millisecond
+	// maxUnreachable is how many replicas that can't be reached a request
+	// passes over; they count for none of its attempts.
+	maxUnreachable = 3
+	// maxPlainBody bounds the answer of a plain service that is held until it
+	// is whole.
+	maxPlainBody = 256 << 10
+	// failing is the lowest status by which a replica says that it failed.
+	failing = http.StatusInternalServerError
+)
+
+// Counter counts ends of requests and decisions on the way.
+type Counter interface {
+	Answered(customer, class string, kind outcome.Kind, cause outcome.Cause, took time.Duration)
+	FirstToken(customer, class string, took time.Duration)
+	BetweenTokens(customer, class string, took time.Duration)
+	Retried(class string)
+	Resumed(cause string)
+}
+
+// Parts are what a forwarder works with.
+type Parts struct {
+	Tables   Tables
+	Replicas *replica.List
+	Picker   *replica.Picker
+	Planner  *pipeline.Planner
+	Upstream Upstream
+	Budget   *Budget
+	Counter  Counter
+	Log      *slog.Logger
+}
+
+// Forwarder is safe for concurrent use.
+type Forwarder struct {
+	Parts
+	stalls *stalls
+}
+
+// New returns a forwarder.
+func New(p Parts) *Forwarder {
+	return &Forwarder{Parts: p, stalls: newStalls()}
+}
+
+// call is one request on its way.
+type call struct {
+	f    *Forwarder
+	req  *Request
+	rule *ingress.Rule
+	// service is the one drawn for the request.
+	service  *ingress.Service
+	customer string
+	// end is when the caller, or the operator, stops waiting.
+	end time.Time
+	// sends counts the replicas that the request was sent to, and tried names
+	// all that were chosen.
+	sends int
+	tried map[string]bool
+	// mayHaveRun is set once a replica got the request and did not say that it
+	// left it.
+	mayHaveRun bool
+	cause      string
+}
+
+// Do serves one request. ctx ends when the caller has left; the body of the
+// response is to be closed.
+func (f *Forwarder) Do(ctx context.Context, req *Request) *Response {
+	t, fresh := f.Tables.Table()
+	if t == nil {
+		return f.refuseEarly(req, "no_configuration")
+	}
+	rule := t.Match(req.Host, req.Target)
+	if rule == nil {
+		f.Log.Info("forward: rejected", "request", req.ID, "cause", "no_rule", "config", t.Version)
+		return plainResponse(http.StatusNotFound, 0)
+	}
+	customer, err := t.Authorize(rule, req.Key, fresh)
+	if err != nil {
+		return f.deny(req, t, err)
+	}
+	c := &call{f: f, req: req, rule: rule, tried: map[string]bool{}}
+	if customer != nil {
+		c.customer = customer.Name
+	}
+	c.service = t.Service(rule.Pick())
+	if c.service == nil {
+		return f.refuseEarly(req, "no_service")
+	}
+	c.end = endOf(req, rule)
+	f.Budget.Request(c.service.Name, req.Arrived)
+	ctx, cancel := context.WithDeadline(ctx, c.end)
+	if rule.Kind == ingress.KindStream && c.service.Model != nil {
+		return c.stream(ctx, cancel)
+	}
+	defer cancel()
+	return c.plain(ctx)
+}
+
+// endOf returns when the caller or the operator stops waiting.
+func endOf(req *Request, rule *ingress.Rule) time.Time {
+	wait := rule.Timeout
+	if req.Patience > 0 && (wait <= 0 || req.Patience < wait) {
+		wait = req.Patience
+	}
+	if wait <= 0 {
+		wait = time.Minute
+	}
+	return req.Arrived.Add(wait)
+}
+
+func (f *Forwarder) refuseEarly(req *Request, cause string) *Response {
+	f.Log.Info("forward: refused", "request", req.ID, "cause", cause)
+	f.Counter.Answered("", "", outcome.NotRun, outcome.Cause(cause), time.Since(req.Arrived))
+	return plainResponse(http.StatusServiceUnavailable, soon+rand.N(later-soon))
+}
+
+func (f *Forwarder) deny(req *Request, t *ingress.Table, err error) *Response {
+	var e *ingress.Error
+	if errors.As(err, &e) && e.Kind == ingress.KindStale {
+		return f.refuseEarly(req, string(e.Kind))
+	}
+	f.Log.Info("forward: rejected", "request", req.ID, "cause", err.Error(), "config", t.Version)
+	return plainResponse(http.StatusUnauthorized, 0)
+}
+
+func plainResponse(status int, retryAfter time.Duration) *Response {
+	return &Response{Status: status, Body: http.NoBody, RetryAfter: retryAfter}
+}
+
+// current reports whether the request is still allowed by what is known now:
+// time may have passed since it arrived.
+func (c *call) current() error {
+	t, fresh := c.f.Tables.Table()
+	if t == nil {
+		return &ingress.Error{Op: "recheck", Kind: ingress.KindStale}
+	}
+	_, err := t.Authorize(c.rule, c.req.Key, fresh)
+	return err
+}
+
+// refuse ends a request that no replica has run.
+func (c *call) refuse(cause string, after time.Duration) *Response {
+	c.finish(outcome.NotRun, cause)
+	return plainResponse(http.StatusServiceUnavailable, after)
+}
+
+// fail ends a request that may have run.
+func (c *call) fail(cause string) *Response {
+	status := http.StatusBadGateway
+	if time.Now().Add(leastLeft).After(c.end) {
+		status = http.StatusGatewayTimeout
+	}
+	c.finish(outcome.Unknown, cause)
+	return plainResponse(status, 0)
+}
+
+// giveUp ends a request that was tried: as not run if that is sure.
+func (c *call) giveUp(cause string) *Response {
+	if c.mayHaveRun {
+		return c.fail(cause)
+	}
+	return c.refuse(cause, soon+rand.N(soon))
+}
+
+// finish logs and counts the end of a request.
+func (c *call) finish(kind outcome.Kind, cause string) {
+	took := time.Since(c.req.Arrived)
+	c.f.Counter.Answered(c.customer, c.rule.Name, kind, outcome.Cause(cause), took)
+	c.f.Log.Info("forward: ended", "request", c.req.ID, "rule", c.rule.Name, "customer", c.customer,
+		"outcome", string(kind), "cause", cause, "sends", c.sends, "took_ms", took.Milliseconds())
+}
--- /dev/null
+++ b/pipeline/planner.go
@@ -0,0 +1,248 @@
+package pipeline
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"bulrushshed/ingress"
+	"bulrushshed/replica"
+	"bulrushshed/route"
+)
+
+const (
+	// hopTime is the price of one more hop.
+	hopTime = 500 * time.Microsecond
+	// crossTime is the price of a link to another failure domain.
+	crossTime = 8 * time.Millisecond
+	// awayTime is the price of a path that begins in another failure domain
+	// than the host's.
+	awayTime = 2 * time.Millisecond
+	// crowding is how much dearer an engine is whose KV cache is full.
+	crowding = 3
+	// fullShare is the share of a KV cache up to which streams are placed
+	// freely, and brimShare the one up to which they are if there is no other
+	// way; the rest is left for streams that grow longer than they said.
+	fullShare = 0.85
+	brimShare = 1.1
+)
+
+// Options are the settings of a planner.
+type Options struct {
+	// FailureDomain is the host's own.
+	FailureDomain string
+	// Hosts returns the number of hosts that share the engines.
+	Hosts func() int
+}
+
+// Planner is safe for concurrent use.
+type Planner struct {
+	opts Options
+
+	mu sync.Mutex
+	// cells is what the streams of this host take of each engine's KV cache,
+	// in tokens of one layer.
+	cells map[string]float64
+	// streams is the number of streams of this host on each engine.
+	streams map[string]int
+	// suspects are engines that are left out until a time.
+	suspects map[string]time.Time
+	// maps are those of the last view, by service.
+	maps map[string]*maps
+}
+
+// maps are what the engines of a service hold, in one view.
+type maps struct {
+	revision int64
+	model    *ingress.Model
+	// domains are maps of one failure domain and one version of the weights;
+	// whole are those of one version over all domains.
+	domains []domainMap
+	whole   []*route.Map
+	// room is the size of each engine's KV cache.
+	room map[string]float64
+}
+
+type domainMap struct {
+	domain string
+	m      *route.Map
+}
+
+// NewPlanner returns a planner that knows of no streams.
+func NewPlanner(opts Options) *Planner {
+	return &Planner{
+		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
+		suspects: map[string]time.Time{}, maps: map[string]*maps{},
+	}
+}
+
+// Ask is what one stream needs.
+type Ask struct {
+	Service string
+	Model   *ingress.Model
+	// Tokens is the expected length of prompt and answer.
+	Tokens int
+	// Avoid names addresses that must not be used.
+	Avoid map[string]bool
+}
+
+// Path returns the best route for a stream and counts the stream on its
+// engines until release is called. The error is a *route.Error.
+func (p *Planner) Path(v *replica.View, a Ask, now time.Time) (r route.Route, release func(), err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.mapsOf(v, a)
+	p.forget(now)
+	for _, share := range []float64{fullShare, brimShare} {
+		r, err = p.cheapest(known, a, share)
+		if err == nil {
+			return r, p.take(r, a.Tokens), nil
+		}
+	}
+	return route.Route{}, nil, err
+}
+
+// cheapest returns the best path that leaves every KV cache below a share.
+func (p *Planner) cheapest(known *maps, a Ask, share float64) (route.Route, error) {
+	prices := p.prices(known, a, share)
+	var best route.Route
+	least := -1.0
+	for _, d := range known.domains {
+		r, price, err := d.m.Cheapest(prices)
+		if err != nil {
+			continue
+		}
+		if d.domain != p.opts.FailureDomain {
+			price += float64(awayTime)
+		}
+		if least < 0 || price < least {
+			best, least = r, price
+		}
+	}
+	if least >= 0 {
+		return best, nil
+	}
+	var err error = &route.Error{Op: "path", Kind: route.KindNone, Reason: "no engine holds layers"}
+	for _, m := range known.whole {
+		var r route.Route
+		if r, _, err = m.Cheapest(prices); err == nil {
+			return r, nil
+		}
+	}
+	return route.Route{}, err
+}
+
+func (p *Planner) prices(known *maps, a Ask, share float64) route.Prices {
+	hosts := float64(max(p.opts.Hosts(), 1))
+	return route.Prices{
+		Run: func(h route.Holding, layers route.Range) (float64, bool) {
+			if a.Avoid[h.Address] {
+				return 0, false
+			}
+			if _, suspect := p.suspects[h.Address]; suspect {
+				return 0, false
+			}
+			more := float64(a.Tokens * layers.Len())
+			used := (hosts*p.cells[h.Address] + more) / max(known.room[h.Address], 1)
+			if used > share {
+				return 0, false
+			}
+			run := float64(h.LayerTime) * float64(layers.Len())
+			return run*(1+crowding*used*used) + float64(hopTime), true
+		},
+		Link: func(from, to route.Holding) float64 {
+			if from.FailureDomain == to.FailureDomain {
+				return 0
+			}
+			return float64(crossTime)
+		},
+	}
+}
+
+// take counts a stream on the engines of its path.
+func (p *Planner) take(r route.Route, tokens int) (release func()) {
+	p.count(r, float64(tokens), 1)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.count(r, -float64(tokens), -1)
+		})
+	}
+}
+
+func (p *Planner) count(r route.Route, tokens float64, streams int) {
+	for _, h := range r.Hops {
+		p.cells[h.Address] += tokens * float64(h.Layers.Len())
+		p.streams[h.Address] += streams
+		if p.streams[h.Address] <= 0 {
+			delete(p.cells, h.Address)
+			delete(p.streams, h.Address)
+		}
+	}
+}
+
+// Suspect leaves an engine out of new paths until a time.
+func (p *Planner) Suspect(address string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until.After(p.suspects[address]) {
+		p.suspects[address] = until
+	}
+}
+
+func (p *Planner) forget(now time.Time) {
+	for address, until := range p.suspects {
+		if !now.Before(until) {
+			delete(p.suspects, address)
+		}
+	}
+}
+
+// mapsOf returns the maps of a view, made at its first use.
+func (p *Planner) mapsOf(v *replica.View, a Ask) *maps {
+	if known, ok := p.maps[a.Service]; ok && known.revision == v.Revision && known.model == a.Model {
+		return known
+	}
+	known := newMaps(v, a)
+	p.maps[a.Service] = known
+	return known
+}
+
+func newMaps(v *replica.View, a Ask) *maps {
+	known := &maps{revision: v.Revision, model: a.Model, room: map[string]float64{}}
+	type part struct{ domain, version string }
+	var parts []part
+	byPart := map[part][]route.Holding{}
+	byVersion := map[string][]route.Holding{}
+	for _, r := range v.Of(a.Service) {
+		acc, ok := a.Model.Accelerators[r.Accelerator]
+		if !ok || r.Layers.Len() <= 0 {
+			continue
+		}
+		h := holding(r, a.Service, a.Model.LayerTime(acc))
+		known.room[r.Address] = a.Model.Cells(acc, r.Layers.Len())
+		at := part{domain: r.FailureDomain, version: h.Version}
+		if len(byPart[at]) == 0 {
+			parts = append(parts, at)
+		}
+		byPart[at] = append(byPart[at], h)
+		byVersion[h.Version] = append(byVersion[h.Version], h)
+	}
+	for _, at := range parts {
+		m := route.NewMap(a.Service, at.version, a.Model.Layers, byPart[at])
+		known.domains = append(known.domains, domainMap{domain: at.domain, m: m})
+	}
+	for version, all := range byVersion {
+		known.whole = append(known.whole, route.NewMap(a.Service, version, a.Model.Layers, all))
+	}
+	return known
+}
+
+func holding(r replica.Replica, model string, layerTime time.Duration) route.Holding {
+	return route.Holding{
+		Endpoint: r.ID, Address: r.Address, Incarnation: r.Started, FailureDomain: r.FailureDomain,
+		Model: model, Version: strconv.Itoa(r.Version), Layers: r.Layers, LayerTime: layerTime, Slots: r.Slots,
+	}
+}
--- a/route/planner.go
+++ b/route/planner.go
@@ -103,7 +103,7 @@
 	if len(m.holdings) > searchAll {
 		m = m.narrow(p, c)
 	}
-	r, ok := m.search(prices{
+	r, _, ok := m.search(prices{
 		run: func(i int, layers Range) (float64, bool) {
 			h := m.holdings[i]
 			return float64(p.time(h, layers, c)), !p.Avoid[h.Endpoint]
@@ -122,6 +122,28 @@
 	return r, nil
 }
 
+// Prices are what Cheapest adds up.
+type Prices struct {
+	// Run is the price of running layers on a holding, and whether it may.
+	Run func(h Holding, layers Range) (float64, bool)
+	// Link is the price of the way from one holding to the next.
+	Link func(from, to Holding) float64
+}
+
+// Cheapest returns the route of the least price. It fails with KindNone when
+// the holdings that may run leave a layer uncovered.
+func (m *Map) Cheapest(p Prices) (r Route, price float64, err error) {
+	r, price, ok := m.search(prices{
+		run:  func(i int, layers Range) (float64, bool) { return p.Run(m.holdings[i], layers) },
+		link: func(i, j int) (float64, bool) { return p.Link(m.holdings[i], m.holdings[j]), true },
+	})
+	if !ok {
+		return Route{}, 0, &Error{Op: "cheapest", Kind: KindNone, Reason: fmt.Sprintf(
+			"got no way through %d holdings of %s %s, want layers 0-%d", len(m.holdings), m.model, m.version, m.layers)}
+	}
+	return r, price, nil
+}
+
 const (
 	// searchAll is the number of holdings up to which all are searched.
 	searchAll = 64
--- a/route/search.go
+++ b/route/search.go
@@ -26,12 +26,12 @@
 	unreachable = -2
 )
 
-// search returns the cheapest route.
+// search returns the cheapest route and its price.
 //
 // It is a shortest path over (bound, last holding): layers are run in order,
 // so every edge leads to a later bound and one pass over the bounds settles
 // all costs.
-func (m *Map) search(p prices) (Route, bool) {
+func (m *Map) search(p prices) (r Route, cost float64, ok bool) {
 	steps := make([][]step, len(m.bounds))
 	for b := range steps {
 		steps[b] = make([]step, len(m.holdings))
@@ -43,13 +43,13 @@
 	}
 	last := cheapest(steps[len(m.bounds)-1])
 	if last < 0 {
-		return Route{}, false
+		return Route{}, 0, false
 	}
-	r := m.trace(steps, last)
+	r = m.trace(steps, last)
 	if err := r.Check(m.layers); err != nil {
 		panic(err)
 	}
-	return r, true
+	return r, steps[len(m.bounds)-1][last].cost, true
 }
 
 // settle finds the cheapest way to reach bound b with holding i last.
