--- a/cmd/bulrushd/host.go
+++ b/cmd/bulrushd/host.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+	"github.com/samber/do/v2"
 
 	"bulrushshed/daemon/hosted"
 	"bulrushshed/settings"
@@ -39,9 +40,38 @@
 	// Further signals during the graceful stop do nothing.
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := hosted.Run(ctx, hosted.Wire(cfg)); err != nil {
+	i := hosted.Wire(cfg)
+	reloaded := h.reload(ctx, i)
+	err = hosted.Run(ctx, i)
+	stop()
+	<-reloaded
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// reload reads the settings again at each SIGHUP, until ctx ends.
+func (h *hostCommand) reload(ctx context.Context, i do.Injector) <-chan struct{} {
+	done := make(chan struct{})
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-hup:
+				host, err := do.Invoke[*hosted.Host](i)
+				if err != nil {
+					// Run reports why there is no host.
+					continue
+				}
+				host.Reload(settings.LoadHost(h.settings))
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return done
+}
--- a/control/cover.go
+++ b/control/cover.go
@@ -72,6 +72,17 @@
 	return holds
 }
 
+// Whole reports whether the sites together hold all layers.
+func Whole(m *ingress.Model, sites []Site) bool {
+	held := make([]bool, m.Layers)
+	for _, s := range sites {
+		for l := max(s.Layers.From, 0); l < min(s.Layers.To, m.Layers); l++ {
+			held[l] = true
+		}
+	}
+	return !slices.Contains(held, false)
+}
+
 // coverage is the room for streams, in tokens, that each failure domain has in
 // each layer.
 type coverage struct {
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -19,6 +19,9 @@
 	controlEvery = 250 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = 800 * time.Millisecond
+	// settleTime is how long a fleet that serves nothing must not have grown
+	// before its engines are placed.
+	settleTime = 700 * time.Millisecond
 	// orderLife is how long an order that no list shows counts as under way.
 	orderLife = 8 * time.Second
 )
@@ -30,6 +33,8 @@
 	// given are the orders that the list does not show yet, by the engine's
 	// ID and start.
 	given map[string]given
+	// arrivals tells when the fleet of each service has stopped growing.
+	arrivals map[string]*arrivals
 	// fenced is the fencing number that an engine refused; no order goes out
 	// under it any more.
 	fenced int64
@@ -41,7 +46,28 @@
 }
 
 func newController(h *Host) *controller {
-	return &controller{host: h, given: map[string]given{}}
+	return &controller{host: h, given: map[string]given{}, arrivals: map[string]*arrivals{}}
+}
+
+// arrivals is when a service's engines were last seen to become more.
+type arrivals struct {
+	most int
+	at   time.Time
+}
+
+// settled reports whether a fleet that serves nothing yet has stopped growing.
+// Engines that are placed one by one, as they come, take too many layers each.
+func (c *controller) settled(service string, engines int, now time.Time) bool {
+	a, ok := c.arrivals[service]
+	if !ok {
+		a = &arrivals{at: now}
+		c.arrivals[service] = a
+	}
+	if engines > a.most {
+		a.most = engines
+		a.at = now
+	}
+	return now.Sub(a.at) >= settleTime
 }
 
 func engineKey(r replica.Replica) string { return fmt.Sprintf("%s/%d", r.ID, r.Started) }
@@ -86,7 +112,7 @@
 		sites = append(sites, site)
 		byID[r.ID] = r
 	}
-	if free == 0 {
+	if !c.settled(s.Name, len(sites), now) && !control.Whole(s.Model, sites) || free == 0 {
 		return
 	}
 	c.order(ctx, control.Cover(s.Model, sites), byID, fence)
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -17,11 +17,16 @@
 	// failPause is the least pause behind a read that failed; the longest is
 	// twice that.
 	failPause = 150 * time.Millisecond
+	// gatherTime is how long changes of the replicas are left to gather before
+	// the next read.
+	gatherTime = 250 * time.Millisecond
 )
 
 // follower takes the changes of one topic of the store.
 type follower struct {
 	topic string
+	// gather is the pause behind a read that brought changes.
+	gather time.Duration
 	// apply takes changes; whole is set if they are all that there is.
 	apply func(p platform.Page, whole bool)
 	// proved notes that all news before a time, by the clock of proofs, is
@@ -54,6 +59,9 @@
 			}
 			f.proved(sent)
 			next = page.Next
+			if f.gather > 0 && len(page.Changes) > 0 {
+				pause(ctx, f.gather)
+			}
 		}
 	}()
 	return done
@@ -116,7 +124,7 @@
 
 func (h *Host) replicaFollower() follower {
 	return follower{
-		topic: platform.TopicReplicas, apply: h.applyReplicas, lost: h.replicas.Away,
+		topic: platform.TopicReplicas, gather: gatherTime, apply: h.applyReplicas, lost: h.replicas.Away,
 		proved: func(time.Duration) { h.replicas.Back(time.Now()) },
 	}
 }
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -51,6 +51,7 @@
 type Host struct {
 	cfg   settings.Host
 	log   *slog.Logger
+	level *slog.LevelVar
 	lines *lineWriter
 
 	store    *platform.Store
@@ -82,8 +83,9 @@
 func newHost(i do.Injector) (*Host, error) {
 	cfg := do.MustInvoke[settings.Host](i)
 	lines := newLineWriter(os.Stdout)
+	level := &slog.LevelVar{}
 	h := &Host{
-		cfg: cfg, lines: lines, log: newLogger(cfg, lines),
+		cfg: cfg, lines: lines, level: level, log: newLogger(cfg, level, lines),
 		store:    platform.NewStore(cfg.StoreAddress, storeTimeout),
 		fresh:    ingress.NewFreshness(time.Duration(trustShare*float64(cfg.Revoke.D())), bootTime),
 		replicas: replica.NewList(lapse),
@@ -110,10 +112,8 @@
 // for hosts whose views of the group differ.
 const budgetShare = 0.8
 
-func newLogger(cfg settings.Host, w *lineWriter) *slog.Logger {
-	var level slog.Level
-	// The settings were checked, so the level is one that slog knows.
-	_ = level.UnmarshalText([]byte(cfg.Log.Level))
+func newLogger(cfg settings.Host, level *slog.LevelVar, w *lineWriter) *slog.Logger {
+	setLevel(level, cfg)
 	opts := &slog.HandlerOptions{Level: level}
 	if cfg.Log.Format == "text" {
 		return slog.New(slog.NewTextHandler(w, opts)).With("host", cfg.Name)
@@ -121,6 +121,26 @@
 	return slog.New(slog.NewJSONHandler(w, opts)).With("host", cfg.Name)
 }
 
+func setLevel(level *slog.LevelVar, cfg settings.Host) {
+	var l slog.Level
+	// The settings were checked, so the level is one that slog knows.
+	_ = l.UnmarshalText([]byte(cfg.Log.Level))
+	level.Set(l)
+}
+
+// Reload takes the settings that can change while the host runs: the level of
+// the log. It logs which others have changed and wait for a restart.
+func (h *Host) Reload(cfg settings.Host, err error) {
+	if err != nil {
+		h.log.Error("host: settings not reloaded", "cause", err.Error())
+		return
+	}
+	setLevel(h.level, cfg)
+	rest := cfg
+	rest.Log.Level = h.cfg.Log.Level
+	h.log.Info("host: settings reloaded", "level", cfg.Log.Level, "restart_needed", rest != h.cfg)
+}
+
 func (h *Host) gauges() {
 	h.meter.Gauge("bulrushshed_config_version", func() float64 {
 		if t := h.table.Load(); t != nil {
