Watch streams from their send on, find the engine that holds them up, and move them

Cause: an attempt was watched only behind the head of its answer, which comes with the first token, so streams over a dead engine waited for up to 3 s; the freshness of keys ended 0.9 s before such requests are given up for; stopping hosts waited for calls that the store held, past their grace.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -13,10 +13,11 @@
 
 const (
 	// newsWait is how long the store may hold a read that has no news.
-	newsWait = 1500 * time.Millisecond
-	// failPause is the least pause behind a read that failed; the longest is
-	// twice that.
-	failPause = 150 * time.Millisecond
+	newsWait = 1200 * time.Millisecond
+	// failPause is the pause behind a read that failed; it doubles with each
+	// further one up to maxFailPause, and varies by half.
+	failPause    = 100 * time.Millisecond
+	maxFailPause = 500 * time.Millisecond
 	// gatherTime is how long changes of the replicas are left to gather before
 	// the next read.
 	gatherTime = 250 * time.Millisecond
@@ -42,14 +43,17 @@
 	go func() {
 		defer func() { done <- nil }()
 		next, connected := int64(-1), true
+		wait := failPause
 		for ctx.Err() == nil {
 			sent := h.fresh.Now()
 			page, err := h.read(f.topic, next)
 			if err != nil {
 				next = h.failed(f, err, next, &connected)
-				pause(ctx, failPause+rand.N(failPause))
+				pause(ctx, wait/2+rand.N(wait))
+				wait = min(2*wait, maxFailPause)
 				continue
 			}
+			wait = failPause
 			if !connected {
 				connected = true
 				h.log.Info("store: regained", "topic", f.topic)
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -140,12 +140,18 @@
 	return g.generation, g.first && !g.left && now < g.until
 }
 
-// leave tells the others that this host takes no more callers.
-func (g *group) leave() {
+// leave tells the others that this host takes no more callers. The channel is
+// closed when the store knows, or does not answer.
+func (g *group) leave() <-chan struct{} {
 	g.mu.Lock()
 	g.left = true
 	g.mu.Unlock()
-	if err := g.host.store.Leave(groupName, g.member); err != nil {
-		g.host.log.Warn("group: not left", "cause", err.Error())
-	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := g.host.store.Leave(groupName, g.member); err != nil {
+			g.host.log.Warn("group: not left", "cause", err.Error())
+		}
+	}()
+	return done
 }
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -31,7 +31,7 @@
 	lapse = 1900 * time.Millisecond
 	// trustShare is the share of the time to revoke a key for which a proof
 	// of fresh configuration holds; the rest is for requests on their way.
-	trustShare = 0.7
+	trustShare = 0.94
 	// memoryShare is the share of the machine's memory that the heap may take
 	// before the collector works harder.
 	memoryShare = 0.6
@@ -42,9 +42,13 @@
 	maxClasses   = 600
 	// stopMargin is left of the grace when a stopping host ends.
 	stopMargin = 700 * time.Millisecond
-	// linger is the least time that a stopping host goes on to serve, for
-	// callers that keep addresses for long.
-	pollStop = 100 * time.Millisecond
+	// acceptShare is the share of the grace in which a stopping host still
+	// takes requests; those behind it could not end in time.
+	acceptShare = 0.375
+	// endWait is how long the loops may take to end.
+	endWait = 100 * time.Millisecond
+	// pollStop is the time between two looks for requests in progress.
+	pollStop = 50 * time.Millisecond
 )
 
 // Host is one entry host on the platform.
@@ -70,6 +74,10 @@
 	present atomic.Int64
 	// stopping is set once, when a graceful stop begins.
 	stopping atomic.Bool
+	// closing is set once, when a stopping host takes no more requests.
+	closing atomic.Bool
+	// listener is where callers connect; serve sets it.
+	listener net.Listener
 }
 
 // Wire returns an injector that makes a host of its settings.
@@ -98,7 +106,7 @@
 	h.callers = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		Read: platform.DecodeRequest, Passed: platform.Passed, Stopping: h.stopping.Load, Log: h.log,
 	}, counted{h, forward.New(forward.Parts{
-		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Upstream: h.engines,
+		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Pulse: pipeline.NewPulse(), Upstream: h.engines,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * budgetShare, Extra: cfg.RetryExtra * budgetShare, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
 		}),
@@ -163,6 +171,9 @@
 	return h.table.Load(), fresh
 }
 
+// stopRetry is when a caller that a stopping host refuses may try another one.
+const stopRetry = 50 * time.Millisecond
+
 // counted counts the requests that are being served.
 type counted struct {
 	host *Host
@@ -172,6 +183,11 @@
 // Do implements ingresshttp.Forwarder.
 func (c counted) Do(ctx context.Context, req *forward.Request) *forward.Response {
 	c.host.present.Add(1)
+	if c.host.closing.Load() {
+		c.host.present.Add(-1)
+		c.host.log.Info("host: refused", "request", req.ID, "cause", "stopping")
+		return forward.Refuse(stopRetry)
+	}
 	resp := c.next.Do(ctx, req)
 	if !resp.Streaming {
 		c.host.present.Add(-1)
@@ -212,13 +228,24 @@
 	}
 	h.drain()
 	cancel()
+	h.await(loops)
+	h.log.Info("host: stopped")
+	return nil
+}
+
+// await waits for loops to end, but not for calls that the store holds.
+func (h *Host) await(loops []<-chan error) {
+	late := time.After(endWait)
 	for _, done := range loops {
-		if err := <-done; err != nil {
-			h.log.Warn("host: loop failed", "cause", err.Error())
+		select {
+		case err := <-done:
+			if err != nil {
+				h.log.Warn("host: loop failed", "cause", err.Error())
+			}
+		case <-late:
+			return
 		}
 	}
-	h.log.Info("host: stopped")
-	return nil
 }
 
 // serve opens all addresses; failed carries the end of each server.
@@ -236,21 +263,36 @@
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
-		go func() { failed <- s.serve(ln) }()
+		if s.address == h.cfg.CallerAddress {
+			h.listener = ln
+		}
+		go func() {
+			err := s.serve(ln)
+			if !h.closing.Load() {
+				failed <- err
+			}
+		}()
 	}
 	return nil
 }
 
-// drain leaves the group and serves on until callers are done, or the grace
-// ends.
+// drain leaves the group, serves callers that still hold this host's address,
+// and then only what has begun, until that is done or the grace ends.
 func (h *Host) drain() {
 	began := time.Now()
 	h.stopping.Store(true)
 	h.log.Info("host: stopping", "requests", h.present.Load())
-	go h.group.leave()
-	for time.Since(began) < h.cfg.Grace.D()-stopMargin {
+	left := h.group.leave()
+	accepting := time.Duration(acceptShare * float64(h.cfg.Grace.D()))
+	time.Sleep(accepting)
+	h.closing.Store(true)
+	if err := h.listener.Close(); err != nil {
+		h.log.Warn("host: listener not closed", "cause", err.Error())
+	}
+	for h.present.Load() > 0 && time.Since(began) < h.cfg.Grace.D()-stopMargin {
 		time.Sleep(pollStop)
 	}
+	<-left
 	h.log.Info("host: drained", "requests_cut", h.present.Load(), "took_ms", time.Since(began).Milliseconds())
 }
 
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"bulrushshed/pipeline"
+	"bulrushshed/replica"
+	"bulrushshed/route"
+)
+
+// attempt is one run of a stream at one path. A goroutine of its own sends the
+// request and reads the answer; it ends with the attempt's context, and closes
+// news then.
+type attempt struct {
+	first replica.Replica
+	path  route.Route
+	beat  *pipeline.Beat
+	// news carries the head of the answer, and then its events.
+	news    chan news
+	cancel  context.CancelFunc
+	release func()
+	// answered is set when the head has come, and events counts what came
+	// behind it.
+	answered bool
+	events   int
+	// looks is how often the engines were looked at since the last event.
+	looks int
+	// repaths is how often the attempt was moved.
+	repaths int
+}
+
+// news is one step of an attempt: the head of its answer, or an event.
+type news struct {
+	answer *Answer
+	event  event
+}
+
+// start begins an attempt.
+func (s *stream) start(first replica.Replica, path route.Route, release func()) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := &attempt{
+		first: first, path: path, beat: s.f.Pulse.Join(path, time.Now()),
+		news: make(chan news, 4), cancel: cancel, release: release,
+	}
+	s.at = a
+	send := Send{
+		Request: s.req, Replica: first, Path: path, Left: time.Until(s.end), Customer: s.customer, LastEvent: s.lastEvent(),
+	}
+	go a.run(ctx, s.f.Upstream, send)
+}
+
+func (a *attempt) run(ctx context.Context, up Upstream, send Send) {
+	defer close(a.news)
+	answer, err := up.Send(ctx, send)
+	failed := err == nil && !answer.NotRun && (answer.Status != http.StatusOK || !answer.Sealed)
+	if failed {
+		err = hold(answer)
+	}
+	n := news{answer: answer}
+	n.event.err = err
+	select {
+	case a.news <- n:
+	case <-ctx.Done():
+	}
+	if err != nil {
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if failed || answer.NotRun {
+		return
+	}
+	readEvents(ctx, answer.Body, a.news)
+}
+
+// stop ends the attempt.
+func (a *attempt) stop() {
+	a.cancel()
+	a.beat.Leave()
+	a.release()
+}
+
+// head takes the head of the answer, and returns why the attempt failed, or "".
+func (s *stream) takeHead(n news) (cause string) {
+	a := s.at
+	if errors.Is(n.event.err, ErrNotSent) {
+		s.sends--
+		s.unreachable++
+		s.suspect(a.first.Address, notSent)
+		return notSent
+	}
+	if n.event.err != nil {
+		s.ran(a.first.Address)
+		return "broken_answer"
+	}
+	if n.answer.NotRun {
+		s.shun(n.answer, a.first)
+		return "not_run"
+	}
+	s.ran("")
+	if n.answer.Status != http.StatusOK || !n.answer.Sealed {
+		s.tried[a.first.Address] = true
+		s.failed = n.answer
+		return "failed_by_replica"
+	}
+	a.answered = true
+	if s.head == nil {
+		s.head = n.answer
+	}
+	return ""
+}
+
+// ran notes that an engine has, or may have, run the request.
+func (s *stream) ran(broken string) {
+	s.mayHaveRun = true
+	s.runs++
+	if broken != "" {
+		s.tried[broken] = true
+	}
+}
+
+// shun leaves the engine that refused the stream out for a moment.
+func (s *stream) shun(a *Answer, first replica.Replica) {
+	at := a.Fault
+	if at == "" {
+		at = first.Address
+	}
+	s.tried[at] = true
+	s.f.Planner.Suspect(at, time.Now().Add(shunTime))
+}
+
+// suspect leaves an engine out for a while, and tells why in the log.
+func (s *stream) suspect(address, why string) {
+	s.tried[address] = true
+	s.f.Planner.Suspect(address, time.Now().Add(suspectTime))
+	s.f.Log.Warn("forward: suspecting", "request", s.req.ID, "address", address, "cause", why, "last_event", s.last)
+}
--- a/forward/events.go
+++ b/forward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"strconv"
 )
@@ -21,14 +22,14 @@
 }
 
 // readEvents reads events until the stream ends, and hands each over with its
-// end. It stops early when done is closed.
-func readEvents(body io.Reader, out chan<- event, done <-chan struct{}) {
+// end. It stops early when ctx ends.
+func readEvents(ctx context.Context, body io.Reader, out chan<- news) {
 	r := bufio.NewReaderSize(body, 4096)
 	for {
 		e := readEvent(r)
 		select {
-		case out <- e:
-		case <-done:
+		case out <- news{event: e}:
+		case <-ctx.Done():
 			return
 		}
 		if e.err != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -47,6 +47,7 @@
 	Replicas *replica.List
 	Picker   *replica.Picker
 	Planner  *pipeline.Planner
+	Pulse    *pipeline.Pulse
 	Upstream Upstream
 	Budget   *Budget
 	Counter  Counter
@@ -56,12 +57,12 @@
 // Forwarder is safe for concurrent use.
 type Forwarder struct {
 	Parts
-	stalls *stalls
+	asker *asker
 }
 
 // New returns a forwarder.
 func New(p Parts) *Forwarder {
-	return &Forwarder{Parts: p, stalls: newStalls()}
+	return &Forwarder{Parts: p, asker: newAsker()}
 }
 
 // call is one request on its way.
@@ -145,6 +146,11 @@
 	return plainResponse(http.StatusUnauthorized, 0)
 }
 
+// Refuse returns the answer to a request that is not run, and may come back.
+func Refuse(after time.Duration) *Response {
+	return plainResponse(http.StatusServiceUnavailable, after)
+}
+
 func plainResponse(status int, retryAfter time.Duration) *Response {
 	return &Response{Status: status, Body: http.NoBody, RetryAfter: retryAfter}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -73,9 +73,6 @@
 	return c.giveUp(cause)
 }
 
-// notSent is the cause of a send of which the replica got nothing.
-const notSent = "not_sent"
-
 // try sends the request to one replica.
 func (c *call) try(ctx context.Context, r replica.Replica) try {
 	a, err := c.f.Upstream.Send(ctx, Send{
@@ -110,6 +107,13 @@
 	return &Response{Status: a.Status, Header: a.Header, Length: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
 }
 
+// hold reads the body of an answer to its end and keeps it.
+func hold(a *Answer) error {
+	body, err := readWhole(a)
+	a.Body = io.NopCloser(bytes.NewReader(body))
+	return err
+}
+
 // readWhole reads an answer to its end.
 func readWhole(a *Answer) ([]byte, error) {
 	defer func() { _ = a.Body.Close() }()
--- a/forward/request.go
+++ b/forward/request.go
@@ -91,9 +91,8 @@
 	// exchange, the body included. The error has ErrNotSent in its chain if
 	// the replica surely got nothing.
 	Send(ctx context.Context, s Send) (*Answer, error)
-	// Stalled returns the addresses of the engines that hold up a stream,
-	// as the engine that got it reports.
-	Stalled(ctx context.Context, r replica.Replica, requestID string) ([]string, error)
+	// Report asks an engine for its report.
+	Report(ctx context.Context, r replica.Replica) (Report, error)
 	// Repath moves a running stream to another path with the same first hop.
 	Repath(ctx context.Context, r replica.Replica, requestID string, path route.Route) error
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -24,7 +24,7 @@
 	// freely, and brimShare the one up to which they are if there is no other
 	// way; the rest is left for streams that grow longer than they said.
 	fullShare = 0.85
-	brimShare = 1.1
+	brimShare = 1.8
 )
 
 // Options are the settings of a planner.
@@ -47,10 +47,19 @@
 	streams map[string]int
 	// suspects are engines that are left out until a time.
 	suspects map[string]time.Time
+	// reports are what engines last told of themselves.
+	reports map[string]report
 	// maps are those of the last view, by service.
 	maps map[string]*maps
 }
 
+// report is an engine's own word, as of a time.
+type report struct {
+	slowness float64
+	full     float64
+	at       time.Time
+}
+
 // maps are what the engines of a service hold, in one view.
 type maps struct {
 	revision int64
@@ -72,7 +81,7 @@
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
 		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
-		suspects: map[string]time.Time{}, maps: map[string]*maps{},
+		suspects: map[string]time.Time{}, reports: map[string]report{}, maps: map[string]*maps{},
 	}
 }
 
@@ -142,12 +151,11 @@
 			if _, suspect := p.suspects[h.Address]; suspect {
 				return 0, false
 			}
-			more := float64(a.Tokens * layers.Len())
-			used := (hosts*p.cells[h.Address] + more) / max(known.room[h.Address], 1)
+			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), hosts)
 			if used > share {
 				return 0, false
 			}
-			run := float64(h.LayerTime) * float64(layers.Len())
+			run := float64(h.LayerTime) * float64(layers.Len()) * p.slowness(h.Address)
 			return run*(1+crowding*used*used) + float64(hopTime), true
 		},
 		Link: func(from, to route.Holding) float64 {
@@ -159,6 +167,133 @@
 	}
 }
 
+// used is the share of an engine's KV cache that is in use with a stream more:
+// by its own word, if that is recent, or else as if all hosts had as much there
+// as this one.
+func (p *Planner) used(address string, room, more, hosts float64) float64 {
+	room = max(room, 1)
+	if r, ok := p.reports[address]; ok {
+		return r.full + hosts*more/room
+	}
+	return (hosts*p.cells[address] + more) / room
+}
+
+func (p *Planner) slowness(address string) float64 {
+	if r, ok := p.reports[address]; ok {
+		return max(r.slowness*r.slowness, 1)
+	}
+	return 1
+}
+
+// Reported takes an engine's own word: how many times slower than usual it is,
+// and which share of its KV cache is in use.
+func (p *Planner) Reported(address string, slowness, full float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports[address] = report{slowness: slowness, full: full, at: now}
+}
+
+// reportLife is how long an engine's own word is trusted.
+const reportLife = 2500 * time.Millisecond
+
+// Slow reports whether an engine said lately that it is slow.
+func (p *Planner) Slow(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reports[address].slowness >= slowFrom
+}
+
+// slowFrom is the slowness from which on a stream leaves an engine.
+const slowFrom = 2
+
+// Reroute returns the best route that keeps the first hop of another one as it
+// is and uses none of some addresses, preferring what the old route used. The
+// stream counts on its engines until release is called.
+func (p *Planner) Reroute(v *replica.View, a Ask, old route.Route, now time.Time) (r route.Route, release func(), err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.mapsOf(v, a)
+	p.forget(now)
+	prices := p.keeping(p.prices(known, a, brimShare), old)
+	for _, d := range known.domains {
+		if d.domain == domainOf(v, old) {
+			if r, _, err = d.m.Cheapest(prices); err == nil {
+				return r, p.take(r, a.Tokens), nil
+			}
+		}
+	}
+	err = &route.Error{Op: "reroute", Kind: route.KindNone, Reason: "no engine holds layers"}
+	for _, m := range known.whole {
+		if r, _, err = m.Cheapest(prices); err == nil {
+			return r, p.take(r, a.Tokens), nil
+		}
+	}
+	return route.Route{}, nil, err
+}
+
+// domainOf is the failure domain in which a route begins.
+func domainOf(v *replica.View, r route.Route) string {
+	first, _ := v.At(r.Hops[0].Address)
+	return first.FailureDomain
+}
+
+// keptPrice is the share of its price for which a hop of the old route is kept:
+// its KV cache need not be filled again.
+const keptPrice = 0.05
+
+// keeping makes the hops of an old route cheap, and its first one the only way
+// to begin.
+func (p *Planner) keeping(prices route.Prices, old route.Route) route.Prices {
+	first := old.Hops[0]
+	kept := map[string]route.Range{}
+	for _, h := range old.Hops {
+		kept[h.Address] = h.Layers
+	}
+	run := prices.Run
+	prices.Run = func(h route.Holding, layers route.Range) (float64, bool) {
+		isFirst := h.Address == first.Address && layers == first.Layers
+		if isFirst != (layers.From == 0) {
+			return 0, false
+		}
+		if isFirst {
+			return 0, true
+		}
+		price, ok := run(h, layers)
+		if ok && kept[h.Address] == layers {
+			price *= keptPrice
+		}
+		return price, ok
+	}
+	return prices
+}
+
+// Gap says why there is no path: the first layer that no engine may run, and
+// how many engines hold it but are full, suspected or avoided.
+func (p *Planner) Gap(v *replica.View, a Ask) (layer, held int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.mapsOf(v, a)
+	prices := p.prices(known, a, brimShare)
+	for l := range a.Model.Layers {
+		one := route.Range{From: l, To: l + 1}
+		held = 0
+		free := false
+		for _, m := range known.whole {
+			for _, h := range m.Holdings() {
+				if h.Layers.Covers(one) {
+					held++
+					_, ok := prices.Run(h, one)
+					free = free || ok
+				}
+			}
+		}
+		if !free {
+			return l, held
+		}
+	}
+	return -1, 0
+}
+
 // take counts a stream on the engines of its path.
 func (p *Planner) take(r route.Route, tokens int) (release func()) {
 	p.count(r, float64(tokens), 1)
@@ -198,6 +333,11 @@
 			delete(p.suspects, address)
 		}
 	}
+	for address, r := range p.reports {
+		if now.Sub(r.at) > reportLife {
+			delete(p.reports, address)
+		}
+	}
 }
 
 // mapsOf returns the maps of a view, made at its first use.
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -40,7 +40,7 @@
 
 const (
 	// dialTimeout bounds the set-up of a connection.
-	dialTimeout = 700 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// writeAlong is the size of a body in bytes above which the answer is
 	// read while the body is still on its way.
 	writeAlong = 16 << 10
--- a/route/planner.go
+++ b/route/planner.go
@@ -48,6 +48,9 @@
 	return m
 }
 
+// Holdings returns what the endpoints hold; it is not to be changed.
+func (m *Map) Holdings() []Holding { return m.holdings }
+
 // Load returns how busy an endpoint is, as a share of its slots, if this host
 // has some requests of its own on it.
 func (m *Map) Load(endpoint string, own float64) float64 {
