Tell dead from slow engines by one shared check, and keep attempts that nothing can replace

Cause: slow engines looked dead, streams were given up with no budget or path for another attempt, a route could visit an engine twice (refused with 400), and a host that had just started refused what it could have served 100 ms later.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -41,10 +41,10 @@
 	maxCustomers = 100
 	maxClasses   = 600
 	// stopMargin is left of the grace when a stopping host ends.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 350 * time.Millisecond
 	// acceptShare is the share of the grace in which a stopping host still
 	// takes requests; those behind it could not end in time.
-	acceptShare = 0.375
+	acceptShare = 0.28
 	// endWait is how long the loops may take to end.
 	endWait = 100 * time.Millisecond
 	// pollStop is the time between two looks for requests in progress.
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -14,7 +14,7 @@
 
 const (
 	// addressesValid is how long callers may keep addresses.
-	addressesValid = 2 * time.Second
+	addressesValid = time.Second
 	// enoughNear is the number of hosts in a caller's own failure domain that
 	// suffice for it.
 	enoughNear = 2
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -28,8 +28,8 @@
 	events   int
 	// looks is how often the engines were looked at since the last event.
 	looks int
-	// repaths is how often the attempt was moved.
-	repaths int
+	// moves is how often the attempt was moved.
+	moves int
 }
 
 // news is one step of an attempt: the head of its answer, or an event.
--- /dev/null
+++ b/forward/checker.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bulrushshed/replica"
+)
+
+const (
+	// checkTimeout is how long an engine may take to answer before it counts
+	// as gone.
+	checkTimeout = 90 * time.Millisecond
+	// checkLife is how long the outcome of a check is used.
+	checkLife = 600 * time.Millisecond
+	// manyGone is the number of engines that seem gone at once from which on
+	// the fault is taken to be this host's own.
+	manyGone = 4
+)
+
+// checker asks engines whether they are there, and how they are, for all
+// streams of this host together. It is safe for concurrent use.
+type checker struct {
+	mu    sync.Mutex
+	known map[string]checked
+}
+
+// checked is the outcome of a check; pending while there is none yet.
+type checked struct {
+	pending bool
+	gone    bool
+	at      time.Time
+}
+
+func newChecker() *checker { return &checker{known: map[string]checked{}} }
+
+// check returns those of some engines that are known to be gone, and starts to
+// ask those that were not asked lately.
+func (c *checker) check(f *Forwarder, addresses []string, requestID string, now time.Time) (gone []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(now)
+	for _, address := range addresses {
+		k, ok := c.known[address]
+		if ok {
+			if k.gone {
+				gone = append(gone, address)
+			}
+			continue
+		}
+		r, listed := f.Replicas.View().At(address)
+		if !listed {
+			gone = append(gone, address)
+			continue
+		}
+		c.known[address] = checked{pending: true, at: now}
+		go c.ask(f, r, requestID)
+	}
+	if c.goneCount() >= manyGone {
+		return nil
+	}
+	return gone
+}
+
+func (c *checker) forget(now time.Time) {
+	for address, k := range c.known {
+		if !k.pending && now.Sub(k.at) > checkLife {
+			delete(c.known, address)
+		}
+	}
+}
+
+func (c *checker) goneCount() int {
+	n := 0
+	for _, k := range c.known {
+		if k.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// ask asks one engine; it ends within checkTimeout.
+func (c *checker) ask(f *Forwarder, r replica.Replica, requestID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	report, err := f.Upstream.Report(ctx, r)
+	now := time.Now()
+	c.mu.Lock()
+	c.known[r.Address] = checked{gone: err != nil, at: now}
+	c.mu.Unlock()
+	if err != nil {
+		f.Log.Warn("forward: engine gone", "request", requestID, "address", r.Address, "cause", err.Error())
+		f.Planner.Suspect(r.Address, now.Add(suspectTime))
+		return
+	}
+	full := report.CellsUsed / max(report.CellsTotal, 1)
+	f.Log.Info("forward: engine checked", "request", requestID, "address", r.Address, "slowness", report.Slowness, "full", full)
+	f.Planner.Reported(r.Address, report.Slowness, full, now)
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -22,6 +22,10 @@
 	// place must come free first.
 	soon  = 100 * time.Millisecond
 	later = 600 * time.Millisecond
+	// startWait is how long a request waits for the first configuration, and
+	// startPoll the time between two looks.
+	startWait = 300 * time.Millisecond
+	startPoll = 10 * time.Millisecond
 	// maxUnreachable is how many replicas that can't be reached a request
 	// passes over; they count for none of its attempts.
 	maxUnreachable = 3
@@ -57,12 +61,12 @@
 // Forwarder is safe for concurrent use.
 type Forwarder struct {
 	Parts
-	asker *asker
+	checker *checker
 }
 
 // New returns a forwarder.
 func New(p Parts) *Forwarder {
-	return &Forwarder{Parts: p, asker: newAsker()}
+	return &Forwarder{Parts: p, checker: newChecker()}
 }
 
 // call is one request on its way.
@@ -88,7 +92,7 @@
 // Do serves one request. ctx ends when the caller has left; the body of the
 // response is to be closed.
 func (f *Forwarder) Do(ctx context.Context, req *Request) *Response {
-	t, fresh := f.Tables.Table()
+	t, fresh := f.await(ctx)
 	if t == nil {
 		return f.refuseEarly(req, "no_configuration")
 	}
@@ -119,6 +123,17 @@
 	return c.plain(ctx)
 }
 
+// await returns the configuration in force. A host that has just started gets it
+// within moments, so a request waits for it rather than be refused.
+func (f *Forwarder) await(ctx context.Context) (t *ingress.Table, fresh bool) {
+	t, fresh = f.Tables.Table()
+	for waited := time.Duration(0); t == nil && waited < startWait && ctx.Err() == nil; waited += startPoll {
+		time.Sleep(startPoll)
+		t, fresh = f.Tables.Table()
+	}
+	return t, fresh
+}
+
 // endOf returns when the caller or the operator stops waiting.
 func endOf(req *Request, rule *ingress.Rule) time.Time {
 	wait := rule.Timeout
@@ -191,9 +206,11 @@
 }
 
 // finish logs and counts the end of a request.
-func (c *call) finish(kind outcome.Kind, cause string) {
+func (c *call) finish(kind outcome.Kind, cause string, more ...any) {
 	took := time.Since(c.req.Arrived)
 	c.f.Counter.Answered(c.customer, c.rule.Name, kind, outcome.Cause(cause), took)
-	c.f.Log.Info("forward: ended", "request", c.req.ID, "rule", c.rule.Name, "customer", c.customer,
-		"outcome", string(kind), "cause", cause, "sends", c.sends, "took_ms", took.Milliseconds())
+	c.f.Log.Info("forward: ended", append([]any{
+		"request", c.req.ID, "rule", c.rule.Name, "customer", c.customer, "outcome", string(kind), "cause", cause,
+		"sends", c.sends, "took_ms", took.Milliseconds(),
+	}, more...)...)
 }
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -3,34 +3,25 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
-
-	"bulrushshed/replica"
-	"bulrushshed/route"
 )
 
 const (
 	// firstLook is how long the first event of an attempt may take before its
 	// engines are looked at, and gapLook how long each further one may.
 	firstLook = 260 * time.Millisecond
-	gapLook   = 90 * time.Millisecond
+	gapLook   = 110 * time.Millisecond
 	// lookAgain is the time between two looks in one silence.
-	lookAgain = 60 * time.Millisecond
-	// fewSuspects is how many engines may be suspected at once.
-	fewSuspects = 2
-	// surePatience is the silence behind which more engines than that may be,
-	// and the first engine is asked.
-	surePatience = 220 * time.Millisecond
+	lookAgain = 40 * time.Millisecond
+	// slowPatience is the silence behind which slow engines are left.
+	slowPatience = 160 * time.Millisecond
 	// silence is how long an attempt may be silent before it is given up
 	// though no engine is known to hold it up.
 	silence = 900 * time.Millisecond
-	// askTimeout bounds a question or an order to an engine.
-	askTimeout = 250 * time.Millisecond
-	// askPause is the least time between two questions to one engine.
-	askPause = 700 * time.Millisecond
-	// maxRepaths bounds how often one attempt is moved.
-	maxRepaths = 3
+	// orderTimeout bounds an order to an engine.
+	orderTimeout = 250 * time.Millisecond
+	// maxMoves bounds how often one attempt is moved.
+	maxMoves = 3
 )
 
 // patience is how long to wait before the engines are looked at.
@@ -44,37 +35,39 @@
 	return firstLook
 }
 
-// look searches for the engine that holds the stream up, and moves the stream
+// look searches for the engine that holds the stream up, and takes the stream
 // off it. It returns why the attempt is to be given up, or "" to wait on.
 func (s *stream) look() string {
 	s.at.looks++
-	quiet := s.at.beat.Since(time.Now())
+	now := time.Now()
+	quiet := s.at.beat.Since(now)
 	if quiet > silence {
-		return "silent"
+		return s.leave("silent")
 	}
 	suspects := s.at.beat.Suspects()
-	if len(suspects) == 0 {
-		// Other streams get through all engines, so one of them may be slow.
-		s.f.asker.ask(s.f, s.at.path, s.req.ID)
-		return s.leaveSlow()
-	}
-	if len(suspects) > fewSuspects && quiet < surePatience {
+	if len(suspects) == 0 && quiet < slowPatience {
 		return ""
 	}
-	if len(suspects) > fewSuspects {
-		suspects = s.confirm(suspects)
-	}
 	if len(suspects) == 0 {
-		return ""
+		// Other streams get through all engines, so one of them may be slow.
+		suspects = s.at.beat.Hops()
+	}
+	dead := s.f.checker.check(s.f, suspects, s.req.ID, now)
+	if len(dead) > 0 {
+		for _, address := range dead {
+			s.tried[address] = true
+		}
+		return s.move("engine_gone", dead)
 	}
-	for _, address := range suspects {
-		s.suspect(address, "stalled")
+	if quiet >= slowPatience {
+		s.leaveSlow()
 	}
-	return s.move("stalled", suspects)
+	return ""
 }
 
-// leaveSlow moves the stream off engines that say that they are slow.
-func (s *stream) leaveSlow() string {
+// leaveSlow moves the stream off engines that say that they are slow, if that
+// is easy; otherwise they are borne.
+func (s *stream) leaveSlow() {
 	var slow []string
 	for _, h := range s.at.path.Hops[1:] {
 		if s.f.Planner.Slow(h.Address) {
@@ -82,61 +75,65 @@
 			s.tried[h.Address] = true
 		}
 	}
-	if len(slow) == 0 {
-		return ""
-	}
-	// Slow engines are left if that is easy; otherwise they are borne.
-	if s.at.repaths < maxRepaths {
-		_ = s.move("slow", slow)
+	if len(slow) > 0 && s.movable(slow) {
+		s.repath("engine_slow", slow)
 	}
-	return ""
 }
 
-// confirm asks the first engine which of the suspects hold the stream up.
-func (s *stream) confirm(suspects []string) []string {
-	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
-	defer cancel()
-	report, err := s.f.Upstream.Report(ctx, s.at.first)
-	if err != nil {
-		if s.ctx.Err() != nil {
-			return nil
-		}
-		return []string{s.at.first.Address}
-	}
-	return slices.DeleteFunc(suspects, func(a string) bool { return !slices.Contains(report.Stalled[s.req.ID], a) })
+// movable reports whether the attempt can go on without some engines.
+func (s *stream) movable(without []string) bool {
+	return s.at.answered && s.at.moves < maxMoves && !slices.Contains(without, s.at.first.Address)
 }
 
-// move takes the running stream to a path without some engines: the others keep
-// what they hold of it. It returns why the attempt is to be given up, or "".
+// move takes the stream off engines that are gone, and returns why the attempt
+// is to be given up if that fails.
 func (s *stream) move(why string, without []string) string {
-	first := s.at.first.Address
-	if !s.at.answered || s.at.repaths >= maxRepaths || slices.Contains(without, first) {
-		return why
+	if s.movable(without) && s.repath(why, without) {
+		return ""
+	}
+	return s.leave(why)
+}
+
+// leave gives the attempt up if another one can take over; if not, it may still
+// come back.
+func (s *stream) leave(why string) string {
+	s.tried[s.at.first.Address] = true
+	if s.barred() != "" || !s.f.Planner.Has(s.f.Replicas.View(), s.ask(), time.Now()) {
+		return ""
+	}
+	if !s.f.Budget.Repeat(s.service.Name, time.Now()) {
+		return ""
 	}
-	v := s.f.Replicas.View()
-	path, release, err := s.f.Planner.Reroute(v, s.ask(), s.at.path, time.Now())
+	s.paid = true
+	return why
+}
+
+// repath takes the running stream to a path without some engines: the others
+// keep what they hold of it.
+func (s *stream) repath(why string, without []string) bool {
+	path, release, err := s.f.Planner.Reroute(s.f.Replicas.View(), s.ask(), s.at.path, time.Now())
 	if err != nil {
-		return why
+		return false
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	err = s.f.Upstream.Repath(ctx, s.at.first, s.req.ID, path)
 	s.f.Log.Info("forward: moved", "request", s.req.ID, "cause", why, "without", without, "error", errText(err),
 		"last_event", s.last, "hops", len(path.Hops))
 	if err != nil {
 		release()
-		return why
+		return false
 	}
 	s.at.release()
 	s.at.release = release
 	s.at.path = path
-	s.at.repaths++
+	s.at.moves++
 	s.at.beat.Leave()
 	s.at.beat = s.f.Pulse.Join(path, time.Now())
 	s.at.events = 0
 	s.at.looks = 0
 	s.f.Counter.Resumed("moved_" + why)
-	return ""
+	return true
 }
 
 func errText(err error) string {
@@ -145,51 +142,3 @@
 	}
 	return err.Error()
 }
-
-// asker asks engines for reports, each seldom. It is safe for concurrent use.
-type asker struct {
-	mu    sync.Mutex
-	asked map[string]time.Time
-}
-
-func newAsker() *asker { return &asker{asked: map[string]time.Time{}} }
-
-func (a *asker) mayAsk(address string, now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Sub(a.asked[address]) < askPause {
-		return false
-	}
-	a.asked[address] = now
-	return true
-}
-
-// ask asks the engines of a path that were not asked lately, all at once, and
-// hands their reports to the planner.
-func (a *asker) ask(f *Forwarder, path route.Route, requestID string) {
-	now := time.Now()
-	v := f.Replicas.View()
-	for _, h := range path.Hops {
-		r, ok := v.At(h.Address)
-		if !ok || !a.mayAsk(h.Address, now) {
-			continue
-		}
-		go a.one(f, r, requestID)
-	}
-}
-
-// one asks one engine; it ends within askTimeout.
-func (a *asker) one(f *Forwarder, r replica.Replica, requestID string) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	report, err := f.Upstream.Report(ctx, r)
-	if err != nil {
-		f.Log.Warn("forward: engine not asked", "request", requestID, "address", r.Address, "cause", err.Error())
-		return
-	}
-	full := report.CellsUsed / max(report.CellsTotal, 1)
-	if report.Slowness > 1 {
-		f.Log.Info("forward: engine slow", "request", requestID, "address", r.Address, "slowness", report.Slowness, "full", full)
-	}
-	f.Planner.Reported(r.Address, report.Slowness, full, time.Now())
-}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -51,12 +51,19 @@
 	// unreachable those that could not be reached.
 	runs        int
 	unreachable int
+	// paid is set if the budget has been charged for the next attempt.
+	paid bool
 	// last is the number of the last event that the caller has or gets now;
 	// -1 if there is none.
 	last int64
 	// pending are bytes that Read has not handed over yet.
 	pending []byte
 	ended   bool
+	// first is how long the first event took, and gap the longest pause
+	// behind it; since is when the last event came.
+	first time.Duration
+	gap   time.Duration
+	since time.Time
 }
 
 // stream serves a request by events. It answers when the first one is there.
@@ -99,9 +106,10 @@
 	if cause := s.barred(); cause != "" {
 		return cause
 	}
-	if s.sends > 0 && !s.f.Budget.Repeat(s.service.Name, time.Now()) {
+	if s.sends > 0 && !s.paid && !s.f.Budget.Repeat(s.service.Name, time.Now()) {
 		return causeBudget
 	}
+	s.paid = false
 	v := s.f.Replicas.View()
 	path, release, err := s.f.Planner.Path(v, s.ask(), time.Now())
 	if err != nil {
@@ -238,13 +246,20 @@
 		s.conclude(outcome.Answered, "")
 		return
 	}
+	now := time.Now()
+	if s.since.IsZero() {
+		s.first = now.Sub(s.req.Arrived)
+	} else {
+		s.gap = max(s.gap, now.Sub(s.since))
+	}
+	s.since = now
 	s.pending = e.bytes
 }
 
 // conclude ends the stream.
 func (s *stream) conclude(kind outcome.Kind, cause string) {
 	s.ended = true
-	s.finish(kind, cause)
+	s.finish(kind, cause, "first_ms", s.first.Milliseconds(), "max_gap_ms", s.gap.Milliseconds(), "last_event", s.last)
 	s.drop()
 	s.cancel()
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -111,6 +111,16 @@
 	return route.Route{}, nil, err
 }
 
+// Has reports whether there is a path for a stream.
+func (p *Planner) Has(v *replica.View, a Ask, now time.Time) bool {
+	_, release, err := p.Path(v, a, now)
+	if err != nil {
+		return false
+	}
+	release()
+	return true
+}
+
 // cheapest returns the best path that leaves every KV cache below a share.
 func (p *Planner) cheapest(known *maps, a Ask, share float64) (route.Route, error) {
 	prices := p.prices(known, a, share)
--- a/pipeline/pulse.go
+++ b/pipeline/pulse.go
@@ -78,6 +78,9 @@
 	return all
 }
 
+// Hops returns the engines of the path; it is not to be changed.
+func (b *Beat) Hops() []string { return b.hops }
+
 // Leave ends the part of the stream.
 func (b *Beat) Leave() {
 	b.pulse.mu.Lock()
