Move an engine where a failure domain lost layers

Cause: layers of an engine that is gone for good stayed uncovered in its failure domain, as only free engines were placed; after a restart of all hosts each took itself for the only one, and started streams anew that merely waited.

--- a/control/cover.go
+++ b/control/cover.go
@@ -72,6 +72,40 @@
 	return holds
 }
 
+// worthMoving is how many uncovered layers of a failure domain, about, an engine
+// must take over for it to be moved there.
+const worthMoving = 2.5
+
+// Repair returns the engine that is best moved to other layers, and to which,
+// if that covers layers that nobody in its failure domain holds. An engine is
+// in its place when movable says no.
+func Repair(m *ingress.Model, sites []Site, movable func(id string) bool) (h Hold, ok bool) {
+	c := newCoverage(m, sites)
+	for _, s := range sites {
+		if s.Layers.Len() > 0 {
+			c.add(s, s.Layers)
+		}
+	}
+	most := worthMoving
+	for _, s := range sites {
+		n := c.size(s.Accelerator)
+		if s.Layers.Len() <= 0 || n == 0 || !movable(s.ID) {
+			continue
+		}
+		before := c.need(s.FailureDomain)
+		c.remove(s, s.Layers)
+		r := c.best(s.FailureDomain, n)
+		c.add(s, r)
+		if gain := before - c.need(s.FailureDomain); gain > most {
+			most, ok = gain, true
+			h = Hold{ID: s.ID, Layers: r}
+		}
+		c.remove(s, r)
+		c.add(s, s.Layers)
+	}
+	return h, ok
+}
+
 // Whole reports whether the sites together hold all layers.
 func Whole(m *ingress.Model, sites []Site) bool {
 	held := make([]bool, m.Layers)
@@ -142,19 +176,37 @@
 	return min(int(a.MemoryMB/perLayer), m.Layers)
 }
 
-func (c *coverage) add(s Site, r route.Range) {
-	room := c.model.Cells(s.Accelerator, r.Len()) / float64(r.Len())
+func (c *coverage) add(s Site, r route.Range) { c.change(s, r, 1) }
+
+func (c *coverage) remove(s Site, r route.Range) { c.change(s, r, -1) }
+
+func (c *coverage) change(s Site, r route.Range, sign float64) {
+	room := sign * c.model.Cells(s.Accelerator, r.Len()) / float64(r.Len())
 	for l := max(r.From, 0); l < min(r.To, c.model.Layers); l++ {
 		c.room[s.FailureDomain][l] += room
 	}
 }
 
+// need sums up how much each layer of a failure domain needs another engine: 1
+// for a layer that nobody holds, and little for one with much room.
+func (c *coverage) need(domain string) float64 {
+	sum := 0.0
+	for _, room := range c.room[domain] {
+		sum += c.layerNeed(room)
+	}
+	return sum
+}
+
+func (c *coverage) layerNeed(room float64) float64 {
+	return math.Pow(1+max(room, 0)/c.step, -urgency)
+}
+
 // best returns the range of n layers that most needs another engine in a
 // failure domain.
 func (c *coverage) best(domain string, n int) route.Range {
 	need := make([]float64, c.model.Layers)
 	for l, room := range c.room[domain] {
-		need[l] = math.Pow(1+room/c.step, -urgency)
+		need[l] = c.layerNeed(room)
 	}
 	best, most := 0, -1.0
 	for from := 0; from+n <= c.model.Layers; from++ {
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -87,35 +87,77 @@
 	})
 }
 
-// place gives the free engines of one model what they are to hold.
+// place gives the free engines of one model what they are to hold, or moves one
+// to layers that nobody holds.
 func (c *controller) place(ctx context.Context, s *ingress.Service, engines []replica.Replica, fence int64) {
 	now := time.Now()
 	byID := map[string]replica.Replica{}
 	var sites []control.Site
 	free := 0
 	for _, r := range engines {
-		acc, ok := s.Model.Accelerators[r.Accelerator]
+		site, ok := c.site(s.Model, r, now)
 		if !ok {
 			continue
 		}
-		site := control.Site{ID: r.ID, FailureDomain: r.FailureDomain, Accelerator: acc, Layers: r.Layers}
-		if g, ok := c.given[engineKey(r)]; ok {
-			if r.Layers == g.layers || now.Sub(g.at) > orderLife {
-				delete(c.given, engineKey(r))
-			} else {
-				site.Layers = g.layers
-			}
-		}
 		if site.Layers.Len() <= 0 {
 			free++
 		}
 		sites = append(sites, site)
 		byID[r.ID] = r
 	}
-	if !c.settled(s.Name, len(sites), now) && !control.Whole(s.Model, sites) || free == 0 {
+	if !c.settled(s.Name, len(sites), now) && !control.Whole(s.Model, sites) {
+		return
+	}
+	if free > 0 {
+		c.order(ctx, control.Cover(s.Model, sites), byID, fence)
 		return
 	}
-	c.order(ctx, control.Cover(s.Model, sites), byID, fence)
+	c.repair(ctx, s.Model, sites, byID, fence)
+}
+
+// site is what the plan knows of an engine; ok is false for one that is to be
+// left alone.
+func (c *controller) site(m *ingress.Model, r replica.Replica, now time.Time) (s control.Site, ok bool) {
+	acc, ok := m.Accelerators[r.Accelerator]
+	if !ok || c.host.planner.Gone(r.Address, now) {
+		return control.Site{}, false
+	}
+	s = control.Site{ID: r.ID, FailureDomain: r.FailureDomain, Accelerator: acc, Layers: r.Layers}
+	g, pending := c.given[engineKey(r)]
+	switch {
+	case !pending:
+	case r.Layers == g.layers || now.Sub(g.at) > orderLife:
+		delete(c.given, engineKey(r))
+	default:
+		s.Layers = g.layers
+	}
+	return s, true
+}
+
+// repair moves one engine if that covers layers that nobody in its failure
+// domain holds. One is moved at a time, so that the next look knows of it.
+func (c *controller) repair(ctx context.Context, m *ingress.Model, sites []control.Site, byID map[string]replica.Replica, fence int64) {
+	hold, ok := control.Repair(m, sites, func(id string) bool {
+		_, pending := c.given[engineKey(byID[id])]
+		return !pending
+	})
+	if !ok {
+		return
+	}
+	r := byID[hold.ID]
+	ask, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := c.host.engines.Report(ask, r)
+	if err != nil {
+		c.host.log.Warn("control: engine not asked", "replica", r.ID, "cause", err.Error())
+		c.given[engineKey(r)] = given{layers: r.Layers, at: time.Now()}
+		return
+	}
+	if report.Busy {
+		return
+	}
+	err = c.hold(ctx, r, hold.Layers, fence, report.Orders)
+	c.note(r, hold.Layers, fence, "repair", err)
 }
 
 // order sends the orders at once, and notes those that were taken.
@@ -126,29 +168,33 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			errs[i] = c.hold(ctx, byID[hold.ID], hold.Layers, fence)
+			errs[i] = c.hold(ctx, byID[hold.ID], hold.Layers, fence, 0)
 		}()
 	}
 	wg.Wait()
-	now := time.Now()
 	for i, hold := range holds {
-		r := byID[hold.ID]
-		c.host.log.Info("control: ordered", "replica", r.ID, "from", hold.Layers.From, "to", hold.Layers.To,
-			"fence", fence, "outcome", fmt.Sprint(errs[i]))
-		var e *platform.Error
-		if errors.As(errs[i], &e) && e.Kind == platform.KindFenced {
-			c.fenced = fence
-		}
-		c.given[engineKey(r)] = given{layers: hold.Layers, at: now}
+		c.note(byID[hold.ID], hold.Layers, fence, "free", errs[i])
+	}
+}
+
+// note logs an order, and remembers it until the list shows it. A failed one is
+// remembered too: it may yet be carried out.
+func (c *controller) note(r replica.Replica, layers route.Range, fence int64, reason string, err error) {
+	c.host.log.Info("control: ordered", "replica", r.ID, "from", layers.From, "to", layers.To, "held_from", r.Layers.From,
+		"held_to", r.Layers.To, "fence", fence, "reason", reason, "outcome", fmt.Sprint(err))
+	var e *platform.Error
+	if errors.As(err, &e) && e.Kind == platform.KindFenced {
+		c.fenced = fence
 	}
+	c.given[engineKey(r)] = given{layers: layers, at: time.Now()}
 }
 
 // hold gives one order, if this host still may.
-func (c *controller) hold(ctx context.Context, r replica.Replica, layers route.Range, fence int64) error {
+func (c *controller) hold(ctx context.Context, r replica.Replica, layers route.Range, fence, orders int64) error {
 	if now, ok := c.host.group.holds(); !ok || now != fence {
 		return errors.New("lease lost")
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return c.host.engines.Hold(ctx, r, layers, fence, 0)
+	return c.host.engines.Hold(ctx, r, layers, fence, orders)
 }
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -19,6 +19,9 @@
 	joinLife  = 2500 * time.Millisecond
 	// leaseMargin is how much sooner a holder stops than others may begin.
 	leaseMargin = 700 * time.Millisecond
+	// assumedHosts is the number of hosts that share the work, as long as the
+	// group is not known.
+	assumedHosts = 8
 	// memberFields is the number of fields of a member's name.
 	memberFields = 3
 )
@@ -122,6 +125,9 @@
 func (g *group) size() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.seen == 0 {
+		return assumedHosts
+	}
 	return max(len(g.peers), 1)
 }
 
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -17,7 +17,7 @@
 	slowPatience = 160 * time.Millisecond
 	// silence is how long an attempt may be silent before it is given up
 	// though no engine is known to hold it up.
-	silence = 900 * time.Millisecond
+	silence = 1500 * time.Millisecond
 	// orderTimeout bounds an order to an engine.
 	orderTimeout = 250 * time.Millisecond
 	// maxMoves bounds how often one attempt is moved.
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -45,14 +45,20 @@
 	cells map[string]float64
 	// streams is the number of streams of this host on each engine.
 	streams map[string]int
-	// suspects are engines that are left out until a time.
-	suspects map[string]time.Time
+	// suspects are engines that are left out for a time.
+	suspects map[string]suspicion
 	// reports are what engines last told of themselves.
 	reports map[string]report
 	// maps are those of the last view, by service.
 	maps map[string]*maps
 }
 
+// suspicion says since when and until when an engine is left out.
+type suspicion struct {
+	since time.Time
+	until time.Time
+}
+
 // report is an engine's own word, as of a time.
 type report struct {
 	slowness float64
@@ -81,7 +87,7 @@
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
 		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
-		suspects: map[string]time.Time{}, reports: map[string]report{}, maps: map[string]*maps{},
+		suspects: map[string]suspicion{}, reports: map[string]report{}, maps: map[string]*maps{},
 	}
 }
 
@@ -332,14 +338,32 @@
 func (p *Planner) Suspect(address string, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if until.After(p.suspects[address]) {
-		p.suspects[address] = until
+	p.forget(time.Now())
+	known, ok := p.suspects[address]
+	if !ok {
+		known.since = time.Now()
+	}
+	if until.After(known.until) {
+		known.until = until
 	}
+	p.suspects[address] = known
+}
+
+// goneAfter is how long an engine must have been suspected to count as gone.
+const goneAfter = 900 * time.Millisecond
+
+// Gone reports whether an engine has been suspected for long.
+func (p *Planner) Gone(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(now)
+	known, ok := p.suspects[address]
+	return ok && now.Sub(known.since) >= goneAfter
 }
 
 func (p *Planner) forget(now time.Time) {
-	for address, until := range p.suspects {
-		if !now.Before(until) {
+	for address, known := range p.suspects {
+		if !now.Before(known.until) {
 			delete(p.suspects, address)
 		}
 	}
