Leave slow engines late, repair only what stays lost

Cause: moving streams off slow engines filled the others (535 of 900 moves refused, prompts read again), and an engine that is moved is away for 6.5 s, longer than most crashes last.

--- a/control/cover.go
+++ b/control/cover.go
@@ -88,8 +88,8 @@
 	}
 	most := worthMoving
 	for _, s := range sites {
-		n := c.size(s.Accelerator)
-		if s.Layers.Len() <= 0 || n == 0 || !movable(s.ID) {
+		n := s.Layers.Len()
+		if n <= 0 || !movable(s.ID) {
 			continue
 		}
 		before := c.need(s.FailureDomain)
@@ -137,8 +137,19 @@
 	return c
 }
 
-// chooseStep returns the greatest room that leaves enough copies of the layers.
+// chooseStep returns the room that most engines in service have; before there
+// are any, the greatest one that leaves enough copies of the layers.
 func (c *coverage) chooseStep(sites []Site) float64 {
+	var rooms []float64
+	for _, s := range sites {
+		if n := s.Layers.Len(); n > 0 {
+			rooms = append(rooms, c.model.Cells(s.Accelerator, n)/float64(n))
+		}
+	}
+	if len(rooms) > 0 {
+		slices.Sort(rooms)
+		return max(rooms[len(rooms)/4], roomSteps[len(roomSteps)-1])
+	}
 	for _, enough := range []func(least, all float64) bool{
 		func(least, _ float64) bool { return least >= domainCopies },
 		func(_, all float64) bool { return all >= fleetCopies },
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -22,6 +22,9 @@
 	// settleTime is how long a fleet that serves nothing must not have grown
 	// before its engines are placed.
 	settleTime = 700 * time.Millisecond
+	// repairPatience is how long layers must be missing before an engine is
+	// moved there: most engines that crash are back sooner than that takes.
+	repairPatience = 4 * time.Second
 	// orderLife is how long an order that no list shows counts as under way.
 	orderLife = 8 * time.Second
 )
@@ -35,6 +38,8 @@
 	given map[string]given
 	// arrivals tells when the fleet of each service has stopped growing.
 	arrivals map[string]*arrivals
+	// holed is since when layers are missing in some failure domain.
+	holed time.Time
 	// fenced is the fencing number that an engine refused; no order goes out
 	// under it any more.
 	fenced int64
@@ -142,6 +147,13 @@
 		return !pending
 	})
 	if !ok {
+		c.holed = time.Time{}
+		return
+	}
+	if c.holed.IsZero() {
+		c.holed = time.Now()
+	}
+	if time.Since(c.holed) < repairPatience {
 		return
 	}
 	r := byID[hold.ID]
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -13,8 +13,11 @@
 	gapLook   = 110 * time.Millisecond
 	// lookAgain is the time between two looks in one silence.
 	lookAgain = 40 * time.Millisecond
-	// slowPatience is the silence behind which slow engines are left.
-	slowPatience = 160 * time.Millisecond
+	// slowPatience is the silence behind which all engines of a path are
+	// checked though other streams get through them, and leavePatience the one
+	// behind which slow engines are left.
+	slowPatience  = 160 * time.Millisecond
+	leavePatience = 900 * time.Millisecond
 	// silence is how long an attempt may be silent before it is given up
 	// though no engine is known to hold it up.
 	silence = 1500 * time.Millisecond
@@ -59,7 +62,7 @@
 		}
 		return s.move("engine_gone", dead)
 	}
-	if quiet >= slowPatience {
+	if quiet >= leavePatience {
 		s.leaveSlow()
 	}
 	return ""
