--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -12,20 +12,25 @@
 )
 
 const (
-	// newsWait is how long the store may hold a read that has no news.
-	newsWait = 1200 * time.Millisecond
+	// configWait and replicasWait are how long the store may hold a read that
+	// has no news. The first bounds the age of the proof that keys are good,
+	// the second the time in which a silent connection is noticed.
+	configWait   = 1500 * time.Millisecond
+	replicasWait = 2 * time.Second
 	// failPause is the pause behind a read that failed; it doubles with each
 	// further one up to maxFailPause, and varies by half.
 	failPause    = 100 * time.Millisecond
 	maxFailPause = 500 * time.Millisecond
 	// gatherTime is how long changes of the replicas are left to gather before
 	// the next read.
-	gatherTime = 250 * time.Millisecond
+	gatherTime = 500 * time.Millisecond
 )
 
 // follower takes the changes of one topic of the store.
 type follower struct {
 	topic string
+	// wait is how long the store may hold a read.
+	wait time.Duration
 	// gather is the pause behind a read that brought changes.
 	gather time.Duration
 	// apply takes changes; whole is set if they are all that there is.
@@ -46,7 +51,7 @@
 		wait := failPause
 		for ctx.Err() == nil {
 			sent := h.fresh.Now()
-			page, err := h.read(f.topic, next)
+			page, err := h.read(f, next)
 			if err != nil {
 				next = h.failed(f, err, next, &connected)
 				pause(ctx, wait/2+rand.N(wait))
@@ -71,11 +76,11 @@
 	return done
 }
 
-func (h *Host) read(topic string, next int64) (platform.Page, error) {
+func (h *Host) read(f follower, next int64) (platform.Page, error) {
 	if next < 0 {
-		return h.store.Newest(topic)
+		return h.store.Newest(f.topic)
 	}
-	return h.store.Read(topic, next, newsWait)
+	return h.store.Read(f.topic, next, f.wait)
 }
 
 // failed logs the first of a row of failures, and returns where to read on.
@@ -103,7 +108,7 @@
 }
 
 func (h *Host) configFollower() follower {
-	return follower{topic: platform.TopicConfig, apply: h.applyConfig, proved: h.fresh.Prove, lost: func() {}}
+	return follower{topic: platform.TopicConfig, wait: configWait, apply: h.applyConfig, proved: h.fresh.Prove, lost: func() {}}
 }
 
 // applyConfig puts the newest configuration in force; versions only grow.
@@ -128,7 +133,7 @@
 
 func (h *Host) replicaFollower() follower {
 	return follower{
-		topic: platform.TopicReplicas, gather: gatherTime, apply: h.applyReplicas, lost: h.replicas.Away,
+		topic: platform.TopicReplicas, wait: replicasWait, gather: gatherTime, apply: h.applyReplicas, lost: h.replicas.Away,
 		proved: func(time.Duration) { h.replicas.Back(time.Now()) },
 	}
 }
--- a/forward/checker.go
+++ b/forward/checker.go
@@ -11,7 +11,7 @@
 const (
 	// checkTimeout is how long an engine may take to answer before it counts
 	// as gone.
-	checkTimeout = 90 * time.Millisecond
+	checkTimeout = 70 * time.Millisecond
 	// checkLife is how long the outcome of a check is used.
 	checkLife = 600 * time.Millisecond
 	// manyGone is the number of engines that seem gone at once from which on
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -17,9 +17,9 @@
 	crossTime = 8 * time.Millisecond
 	// awayTime is the price of a path that begins in another failure domain
 	// than the host's.
-	awayTime = 2 * time.Millisecond
+	awayTime = 8 * time.Millisecond
 	// crowding is how much dearer an engine is whose KV cache is full.
-	crowding = 3
+	crowding = 8
 	// fullShare is the share of a KV cache up to which streams are placed
 	// freely, and brimShare the one up to which they are if there is no other
 	// way; the rest is left for streams that grow longer than they said.
@@ -172,7 +172,7 @@
 				return 0, false
 			}
 			run := float64(h.LayerTime) * float64(layers.Len()) * p.slowness(h.Address)
-			return run*(1+crowding*used*used) + float64(hopTime), true
+			return run*(1+crowding*used*used*used*used) + float64(hopTime), true
 		},
 		Link: func(from, to route.Holding) float64 {
 			if from.FailureDomain == to.FailureDomain {
