--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -22,8 +22,10 @@
 	news    chan news
 	cancel  context.CancelFunc
 	release func()
-	// answered is set when the head has come, and events counts what came
-	// behind it.
+	// settled is set when it is known whether the engine took the request,
+	// answered when the head of a good answer has come, and events counts what
+	// came behind it.
+	settled  bool
 	answered bool
 	events   int
 	// looks is how often the engines were looked at since the last event.
@@ -82,9 +84,11 @@
 	a.release()
 }
 
-// head takes the head of the answer, and returns why the attempt failed, or "".
+// takeHead takes the head of the answer, and returns why the attempt failed, or
+// "".
 func (s *stream) takeHead(n news) (cause string) {
 	a := s.at
+	a.settled = true
 	if errors.Is(n.event.err, ErrNotSent) {
 		s.sends--
 		s.unreachable++
--- a/forward/events.go
+++ b/forward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
 )
@@ -46,9 +47,9 @@
 		line, err := r.ReadSlice('\n')
 		e.bytes = append(e.bytes, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(e.bytes) < maxEvent:
+		case errors.Is(err, bufio.ErrBufferFull) && len(e.bytes) < maxEvent:
 			continue
-		case err == io.EOF && len(e.bytes) > 0:
+		case errors.Is(err, io.EOF) && len(e.bytes) > 0:
 			e.err = io.ErrUnexpectedEOF
 			return e
 		case err != nil:
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -86,7 +86,6 @@
 	// mayHaveRun is set once a replica got the request and did not say that it
 	// left it.
 	mayHaveRun bool
-	cause      string
 }
 
 // Do serves one request. ctx ends when the caller has left; the body of the
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"time"
@@ -173,7 +174,7 @@
 		select {
 		case n, open := <-s.at.news:
 			e, cause = s.take(n, open)
-			if cause == "" && (e.numbered || e.err == io.EOF) {
+			if cause == "" && (e.numbered || errors.Is(e.err, io.EOF)) {
 				return e, ""
 			}
 		case <-timer.C:
@@ -200,7 +201,7 @@
 		return event{}, s.takeHead(n)
 	}
 	e = n.event
-	if e.err == io.EOF {
+	if errors.Is(e.err, io.EOF) {
 		return e, ""
 	}
 	if e.err != nil {
@@ -233,12 +234,16 @@
 	return s.begin()
 }
 
-// drop ends the running attempt.
+// drop ends the running attempt. One that has not answered may have run.
 func (s *stream) drop() {
-	if s.at != nil {
-		s.at.stop()
-		s.at = nil
+	if s.at == nil {
+		return
+	}
+	if !s.at.settled {
+		s.ran(s.at.first.Address)
 	}
+	s.at.stop()
+	s.at = nil
 }
 
 func (s *stream) deliver(e event) {
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -54,7 +54,7 @@
 	}
 	done := make(chan struct{})
 	c.watching = done
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
 		n, err := c.Conn.Read(c.ahead[:])
@@ -79,7 +79,7 @@
 	if done == nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 	<-done
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
 }
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -76,7 +77,7 @@
 // fault answers a request that can't be read.
 func (s *Server) fault(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	s.opts.Log.Info("ingress: rejected", "cause", err.Error(), "status", status)
