--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 skip := $(if $(red),-skip '^($(red))$$')
 
 # The packages whose tables goroutines share.
-shared := ./admit ./balance ./caller ./claim ./completion ./delivery ./directory ./gossip ./peer ./publication
+shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./forward ./gossip \
+	./ingress ./ingresshttp ./peer ./pipeline ./publication ./replica
 
-.PHONY: build demo up test race lint prove bench
+.PHONY: build demo up test race lint prove bench fuzz hosted
 
 build:
 	mkdir -p bin
@@ -34,9 +35,20 @@
 
 # The figures of docs/MEASUREMENTS.md; about ten minutes on eight cores.
 bench:
-	go test ./route ./meter ./claim -run xxx -bench . -benchtime 300ms
+	go test ./control ./route ./meter ./claim -run xxx -bench . -benchtime 300ms
 	go test ./proof -run xxx -bench . -benchtime 1x
 	go test ./daemon -run xxx -bench . -benchtime 1x
 
+# Each fuzz target for a while.
+fuzz:
+	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
+		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
+	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
+
+# The program for the users' platform, as deploy/system.toml builds it.
+hosted:
+	go build -ldflags=-linkmode=external -o target/ ./cmd/bulrushd
+
 lint:
 	golangci-lint run
+	bash scripts/check-names.sh
--- a/control/cover_test.go
+++ b/control/cover_test.go
@@ -86,17 +86,7 @@
 			LayerMB:   rapid.Float64Range(10, 2000).Draw(t, "layer_mb"),
 			KVTokenMB: rapid.Float64Range(0.01, 1).Draw(t, "kv"),
 		}
-		var sites []control.Site
-		for i := range rapid.IntRange(0, 20).Draw(t, "sites") {
-			s := control.Site{
-				ID: fmt.Sprint(i), FailureDomain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
-				Accelerator: ingress.Accelerator{MemoryMB: rapid.Float64Range(1, 50_000).Draw(t, "mb")},
-			}
-			if fits := int(s.Accelerator.MemoryMB / m.LayerMB); fits > 0 && rapid.Bool().Draw(t, "holds") {
-				s.Layers.To = min(fits, m.Layers)
-			}
-			sites = append(sites, s)
-		}
+		sites := drawSites(t, m)
 		free := map[string]control.Site{}
 		for _, s := range sites {
 			if s.Layers.Len() == 0 {
@@ -123,6 +113,22 @@
 	})
 }
 
+// drawSites makes a fleet of which some engines serve.
+func drawSites(t *rapid.T, m *ingress.Model) []control.Site {
+	var sites []control.Site
+	for i := range rapid.IntRange(0, 20).Draw(t, "sites") {
+		s := control.Site{
+			ID: fmt.Sprint(i), FailureDomain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
+			Accelerator: ingress.Accelerator{MemoryMB: rapid.Float64Range(1, 50_000).Draw(t, "mb")},
+		}
+		if fits := int(s.Accelerator.MemoryMB / m.LayerMB); fits > 0 && rapid.Bool().Draw(t, "holds") {
+			s.Layers.To = min(fits, m.Layers)
+		}
+		sites = append(sites, s)
+	}
+	return sites
+}
+
 // When an engine is lost for good, another one of its domain takes its layers
 // over, if that leaves none uncovered.
 func TestRepairCoversWhatWasLost(t *testing.T) {
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -95,7 +95,7 @@
 		is := is.New(t)
 		w := newWorld(10)
 		for _, id := range []string{"p0", "p1", "p2"} {
-			w.upstream.answers[id] = func(s forward.Send) (*forward.Answer, error) {
+			w.upstream.answers[id] = func(forward.Send) (*forward.Answer, error) {
 				if len(w.upstream.sent()) == 1 {
 					time.Sleep(2 * time.Second)
 				}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -179,7 +179,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(0)
-		slow := func(s forward.Send) (*forward.Answer, error) {
+		slow := func(forward.Send) (*forward.Answer, error) {
 			time.Sleep(2 * time.Second)
 			return whole(200, "id: 1\ndata: t\n\n"), nil
 		}
