Keep a slow attempt where the rule allows no other, and count repeats for a whole window

Ruled out: an engine's closed connection, which the log shows as well, is resumed by the host and reaches no caller.

--- a/control/cover_test.go
+++ b/control/cover_test.go
@@ -165,6 +165,28 @@
 	}
 }
 
+// An engine that comes into a fleet that serves leaves as much room for streams
+// as the others, also while the fleet lacks many.
+func TestANewcomerLeavesRoomForStreams(t *testing.T) {
+	t.Parallel()
+	sites := placed(fleetModel, siteFleet())
+	var left []control.Site
+	for i, s := range sites {
+		if i%3 != 0 {
+			left = append(left, s)
+		}
+	}
+	left = append(left, control.Site{ID: "new", FailureDomain: "a", Accelerator: fleetModel.Accelerators["middle"]})
+	holds := control.Cover(fleetModel, left)
+	if len(holds) != 1 || holds[0].ID != "new" {
+		t.Fatalf("got %v, want layers for the newcomer only", holds)
+	}
+	n := holds[0].Layers.Len()
+	if room := fleetModel.Cells(fleetModel.Accelerators["middle"], n) / float64(n); room < 50_000 {
+		t.Errorf("got room for %f tokens, want 50000", room)
+	}
+}
+
 // inOrder covers the layers in order, over all domains, as engines come.
 func inOrder(m *ingress.Model, sites []control.Site) []control.Site {
 	all := append([]control.Site(nil), sites...)
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -8,6 +8,9 @@
 const (
 	// drainPoll is the time between two looks at what still runs.
 	drainPoll = 20 * time.Millisecond
+	// spreadRounds is how many rounds of gossip the news of a leave may take
+	// to all hosts.
+	spreadRounds = 3
 	// closeWait bounds the closing of idle connections at the end.
 	closeWait = 2 * time.Second
 )
@@ -23,7 +26,9 @@
 	d.log.Info("daemon: draining", "requests", d.gate.Present(), "claims", d.claims.Running())
 	d.tellLeaving()
 	d.releaseLease()
-	d.waitUntil(start.Add(d.cfg.Times.EntriesValid.D()), bound)
+	// Hosts that have not heard yet still name this one.
+	heard := time.Now().Add(spreadRounds * d.cfg.Times.GossipEvery.D())
+	d.waitUntil(heard.Add(d.cfg.Times.EntriesValid.D()), bound)
 	d.claims.Close()
 	d.waitFor(func() bool { return d.gate.Present() == 0 && d.claims.Running() == 0 }, bound)
 	d.gate.Close()
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -235,10 +235,21 @@
 	_, err = r.ReadString('\n')
 	is.NoErr(err)
 	h.stop()
-	rest, err := io.ReadAll(r)
+	var rest strings.Builder
+	for strings.Count(rest.String(), "id: ") < 17 {
+		line, err := r.ReadString('\n')
+		is.NoErr(err)
+		rest.WriteString(line)
+	}
+	select {
+	case <-h.done:
+		t.Fatal("got the end of the host before that of its stream")
+	default:
+	}
+	tail, err := io.ReadAll(r)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
-	is.Equal(strings.Count(string(rest), "id: "), 19)
+	is.Equal(strings.Count(rest.String()+string(tail), "id: "), 19)
 	await(t, "answer without the host", func() bool {
 		return slices.Equal(f.hosts[1].addresses(t), []string{f.hosts[1].cfg.CallerAddress})
 	})
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// budgetParts is the number of parts in which a window is counted.
-const budgetParts = 10
+const (
+	// budgetParts is the number of parts in which a window is counted.
+	budgetParts = 10
+	// keptParts has one more: as the newest part is not over, repeats count
+	// for longer than a window, and never for less.
+	keptParts = budgetParts + 1
+)
 
 // BudgetOptions bound the sends beyond the first of each request.
 type BudgetOptions struct {
@@ -31,8 +36,8 @@
 
 // window counts the requests and the repeats of the last parts.
 type window struct {
-	requests [budgetParts]float64
-	repeats  [budgetParts]float64
+	requests [keptParts]float64
+	repeats  [keptParts]float64
 	// at is the number of the newest part.
 	at int64
 }
@@ -49,12 +54,11 @@
 		b.services[service] = w
 	}
 	part := now.UnixNano() / int64(b.opts.Window/budgetParts)
-	for steps := 0; w.at < part && steps < budgetParts; steps++ {
-		w.at = max(w.at+1, part-budgetParts+1)
-		w.requests[w.at%budgetParts] = 0
-		w.repeats[w.at%budgetParts] = 0
+	for w.at < part {
+		w.at = max(w.at+1, part-keptParts+1)
+		w.requests[w.at%keptParts] = 0
+		w.repeats[w.at%keptParts] = 0
 	}
-	w.at = max(w.at, part)
 	return w
 }
 
@@ -63,7 +67,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	w.requests[w.at%budgetParts]++
+	w.requests[w.at%keptParts]++
 }
 
 // Repeat reports whether a request may be sent once more, and counts it if so.
@@ -72,14 +76,17 @@
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	sum, spent := 0.0, 0.0
-	for i := range budgetParts {
-		sum += w.requests[i]
+	for i := range keptParts {
 		spent += w.repeats[i]
+		if int64(i) != (w.at+1)%keptParts {
+			// The oldest part reaches beyond the window.
+			sum += w.requests[i]
+		}
 	}
 	allowed := b.opts.Ratio*sum + b.opts.Extra/float64(max(b.opts.Hosts(), 1))
 	if spent+1 > allowed {
 		return false
 	}
-	w.repeats[w.at%budgetParts]++
+	w.repeats[w.at%keptParts]++
 	return true
 }
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -43,10 +43,9 @@
 		}
 		for _, end := range repeats {
 			spent := count(repeats, end.Add(-window), end)
-			// The host's own window ends with the part that is running, so
-			// requests of up to a window and a part count.
+			// Each repeat was held against the requests of the window before it.
 			base := count(requests, end.Add(-2*window), end)
-			if allowed := ratio*float64(base) + extra; float64(spent) > allowed+hosts {
+			if allowed := ratio*float64(base) + extra; float64(spent) > allowed {
 				t.Fatalf("got %d repeats in the window to %v, want at most %f", spent, end, allowed)
 			}
 		}
--- a/forward/checker.go
+++ b/forward/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 	checkTimeout = 70 * time.Millisecond
 	// checkLife is how long the outcome of a check is used.
 	checkLife = 600 * time.Millisecond
+	// notableFull is the share of a KV cache in use from which on a check is
+	// worth a line in the log.
+	notableFull = 0.9
 	// manyGone is the number of engines that seem gone at once from which on
 	// the fault is taken to be this host's own.
 	manyGone = 4
@@ -96,6 +100,10 @@
 		return
 	}
 	full := report.CellsUsed / max(report.CellsTotal, 1)
-	f.Log.Info("forward: engine checked", "request", requestID, "address", r.Address, "slowness", report.Slowness, "full", full)
+	level := slog.LevelDebug
+	if report.Slowness > 1 || full > notableFull {
+		level = slog.LevelInfo
+	}
+	f.Log.Log(ctx, level, "forward: engine checked", "request", requestID, "address", r.Address, "slowness", report.Slowness, "full", full)
 	f.Planner.Reported(r.Address, report.Slowness, full, now)
 }
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -101,6 +101,9 @@
 // come back.
 func (s *stream) leave(why string) string {
 	s.tried[s.at.first.Address] = true
+	if !s.at.settled && s.runs+1 >= s.rule.MaxAttempts {
+		return ""
+	}
 	if s.barred() != "" || !s.f.Planner.Has(s.f.Replicas.View(), s.ask(), time.Now()) {
 		return ""
 	}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// An event that comes again is passed over, and a stream that its replica ends in
+// the middle of an event, without an error, is not whole.
+func TestWhatEndsAStream(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, text string
+		sends      int
+	}{
+		{"an event again", "id: 1\ndata: t\n\nid: 1\ndata: t\n\nid: 2\ndata: t\n\n", 1},
+		{"an end in an event", "id: 1\ndata: t\n\nid: 2\nda", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(10)
+				w.upstream.answers["e0"] = once(func(forward.Send) (*forward.Answer, error) { return whole(200, c.text), nil })
+				w.upstream.answers["e1"] = w.upstream.answers["e0"]
+				ids, err := read(t, w.forwarder.Do(t.Context(), request("stream")))
+				is.NoErr(err)
+				is.Equal(ids[:2], upTo(2))
+				is.Equal(len(w.upstream.sent()), c.sends)
+			})
+		})
+	}
+}
+
 // once answers the first request and leaves the others to the engine.
 func once(answer func(forward.Send) (*forward.Answer, error)) func(forward.Send) (*forward.Answer, error) {
 	used := false
@@ -173,22 +200,31 @@
 	}
 }
 
-// A slow attempt goes on if the budget has nothing left for another one.
+// A slow attempt goes on if the budget, or the rule, has nothing left for another
+// one.
 func TestASlowAttemptIsKeptWhereNoOtherCanBegin(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(0)
-		slow := func(forward.Send) (*forward.Answer, error) {
-			time.Sleep(2 * time.Second)
-			return whole(200, "id: 1\ndata: t\n\n"), nil
-		}
-		w.upstream.answers["e0"], w.upstream.answers["e1"] = slow, slow
-		ids, err := read(t, w.forwarder.Do(t.Context(), request("stream")))
-		is.NoErr(err)
-		is.Equal(ids, upTo(1))
-		is.Equal(len(w.upstream.sent()), 1)
-	})
+	for _, c := range []struct {
+		name, rule string
+		budget     float64
+	}{{"no budget", "stream", 0}, {"no attempt left", "single", 10}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(c.budget)
+				slow := func(forward.Send) (*forward.Answer, error) {
+					time.Sleep(2 * time.Second)
+					return whole(200, "id: 1\ndata: t\n\n"), nil
+				}
+				w.upstream.answers["e0"], w.upstream.answers["e1"] = slow, slow
+				ids, err := read(t, w.forwarder.Do(t.Context(), request(c.rule)))
+				is.NoErr(err)
+				is.Equal(ids, upTo(1))
+				is.Equal(len(w.upstream.sent()), 1)
+			})
+		})
+	}
 }
 
 // What can't be served is refused at once, with a time to come back.
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -71,7 +71,9 @@
 		Rules: []ingress.Rule{
 			rule("stream", ingress.KindStream, "model", 2),
 			rule("safe", ingress.KindSafe, "plain", 2),
-			rule("unsafe", ingress.KindUnsafe, "plain", 1),
+			rule("single", ingress.KindStream, "model", 1),
+			rule("unsafe", ingress.KindUnsafe, "plain", 2),
+			rule("once", ingress.KindUnsafe, "plain", 1),
 		},
 		Services:  []ingress.Service{{Name: "model", Model: model}, {Name: "plain"}},
 		Customers: []ingress.Customer{{Name: "ana", Keys: []string{key}}},
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -244,6 +244,29 @@
 	}
 }
 
+// A request that comes while the one before it is served is not lost.
+func TestARequestThatComesMeanwhileIsServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	h := &handler{body: func(ctx context.Context) *forward.Response {
+		began <- struct{}{}
+		<-release
+		return answer(200, "ok")(ctx)
+	}}
+	conn := dial(t, serve(t, h, never), "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	_, err := io.WriteString(conn, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	close(release)
+	r := bufio.NewReader(conn)
+	for range 2 {
+		is.Equal(answerOf(t, r).StatusCode, 200)
+	}
+	is.Equal(h.requests()[1].Target, "/2")
+	is.Equal(h.requests()[1].Method, "GET")
+}
+
 func TestAStoppingHostAsksCallersToLeave(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/load/book.go
+++ b/load/book.go
@@ -20,6 +20,9 @@
 	// pinned books know the seeds only.
 	pinned bool
 
+	// asking is held by the caller that asks for addresses; it is taken before
+	// mu.
+	asking  sync.Mutex
 	mu      sync.Mutex
 	entries []caller.Entry
 	until   time.Time
@@ -67,28 +70,31 @@
 	return all[rand.IntN(len(all))]
 }
 
-// refresh asks for the addresses anew once the last answer is too old.
+// refresh asks for the addresses anew once the last answer is too old. Nobody
+// uses an answer beyond its time: callers that come meanwhile wait, and the time
+// counts from when the answer was asked for.
 func (b *book) refresh() {
+	b.asking.Lock()
+	defer b.asking.Unlock()
 	b.mu.Lock()
-	if b.pinned || time.Now().Before(b.until) {
-		b.mu.Unlock()
-		return
-	}
-	// Others go on with the old answer while this caller asks.
-	b.until = time.Now().Add(b.timeout)
+	fresh := b.pinned || time.Now().Before(b.until)
 	known := b.seeds
 	for _, e := range b.entries {
 		known = append(known[:len(known):len(known)], e.Address)
 	}
 	b.mu.Unlock()
+	if fresh {
+		return
+	}
 	for _, i := range rand.Perm(len(known)) {
+		asked := time.Now()
 		answer, err := b.fetch(known[i], 0)
 		if err != nil || len(answer.Entries) == 0 {
 			continue
 		}
 		b.mu.Lock()
 		b.entries = answer.Entries
-		b.until = time.Now().Add(time.Duration(answer.ValidMS) * time.Millisecond)
+		b.until = asked.Add(time.Duration(answer.ValidMS) * time.Millisecond)
 		b.mu.Unlock()
 		return
 	}
--- a/load/request.go
+++ b/load/request.go
@@ -121,6 +121,8 @@
 	whole    bool
 	refused  outcome.Kind
 	lastNews time.Time
+	// cause says why it is not whole.
+	cause string
 }
 
 // complete asks for a completion; one that is cut is asked for again, since a
@@ -129,6 +131,7 @@
 	prompt := fmt.Sprintf("shift note %016x for %s", nonce, customer)
 	avoid := map[string]bool{}
 	sends := 0
+	cause := ""
 	var s *stream
 	for sends < d.opts.Sends {
 		sends++
@@ -137,6 +140,7 @@
 		if s.whole {
 			break
 		}
+		cause = to + ": " + s.cause
 		avoid[to] = true
 		time.Sleep(sendPause)
 	}
@@ -144,7 +148,7 @@
 	if s.whole && d.opts.Layers > 0 {
 		wrong = d.checkTokens(prompt, s.tokens)
 	}
-	d.tally.stream(s, sends, wrong, time.Since(intended))
+	d.tally.stream(s, sends, cause, wrong, time.Since(intended))
 }
 
 // checkTokens returns what is wrong with an answer, all of whose tokens must
@@ -175,14 +179,20 @@
 		Headers: map[string]string{"Content-Type": "application/json"},
 	})
 	if err != nil {
+		s.cause = err.Error()
 		return s
 	}
 	defer in.Close()
 	if in.Status != http.StatusOK {
 		s.refused = outcome.Kind(in.Header(caller.HeaderOutcome))
+		s.cause = string(s.refused)
 		return s
 	}
-	s.whole = s.read(in, intended) == nil
+	if err := s.read(in, intended); err != nil {
+		s.cause = err.Error()
+		return s
+	}
+	s.whole = true
 	return s
 }
 
--- a/load/tally.go
+++ b/load/tally.go
@@ -42,6 +42,8 @@
 
 	first, between, answer, callTime, checkTime *hdrhistogram.Histogram
 	longestGap                                  time.Duration
+	// restarts says why completions were asked for again.
+	restarts []string
 	// longest are the longest gaps of all streams.
 	longest []time.Duration
 }
@@ -104,7 +106,7 @@
 	}
 }
 
-func (t *tally) stream(s *stream, sends int, wrong string, took time.Duration) {
+func (t *tally) stream(s *stream, sends int, cause, wrong string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.streams++
@@ -122,6 +124,7 @@
 	}
 	if sends > 1 && s.whole {
 		t.restarted++
+		t.restarts = append(t.restarts, cause)
 	}
 	if len(s.tokens) > 0 {
 		record(t.first, s.first)
@@ -163,7 +166,9 @@
 	NotRun  int `json:"not_run"`
 	Unknown int `json:"unknown"`
 	// Restarted counts completions that their callers had to ask for again.
-	Restarted   int                `json:"restarted"`
+	Restarted int `json:"restarted"`
+	// Restarts says why, each time.
+	Restarts    []string           `json:"restarts"`
 	TokensWrong []string           `json:"tokens_wrong"`
 	Calls       history.CallReport `json:"calls"`
 	// Checked is whether executions were there to hold the calls against.
@@ -199,6 +204,7 @@
 		NotRun:      t.refused + t.callKinds[outcome.NotRun],
 		Unknown:     t.cut + (t.checks - t.checked) + t.callKinds[outcome.Unknown],
 		Restarted:   t.restarted,
+		Restarts:    t.restarts,
 		TokensWrong: t.wrong, Calls: calls, Checked: len(o.Executions) > 0 && err == nil,
 		FirstToken: latency(t.first), Between: latency(t.between), Answer: latency(t.answer),
 		Call: latency(t.callTime), Check: latency(t.checkTime),
--- a/pipeline/planner_test.go
+++ b/pipeline/planner_test.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// Of two failure domains that are alike, a host takes its own.
+func TestAPathBeginsInTheOwnFailureDomain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	v := view(engine(0, "a", "fast", 0, 4), engine(1, "b", "fast", 0, 4), engine(2, "c", "fast", 0, 4))
+	for domain, want := range map[string]string{"a": "e0", "b": "e1", "c": "e2"} {
+		p := pipeline.NewPlanner(pipeline.Options{FailureDomain: domain, Hosts: func() int { return 1 }})
+		r, _, err := p.Path(v, pipeline.Ask{Service: "s", Model: model(4), Tokens: 10}, time.Now())
+		is.NoErr(err)
+		is.Equal(addresses(r), []string{want})
+	}
+}
+
 func TestPathsMixNoVersions(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
