--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -258,6 +258,8 @@
 	<-began
 	_, err := io.WriteString(conn, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
+	// Give the server the time to read ahead; the test holds without, too.
+	time.Sleep(50 * time.Millisecond)
 	close(release)
 	r := bufio.NewReader(conn)
 	for range 2 {
