Streams leave draining engines in turn, and may return to a replica that ran them

A rule's attempts count replicas: once they are used up, a stream that breaks may go again to one of those. Engines that drain are left 0.7 to 1.5 s after the word, one stream after the other.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,11 @@
 	looks int
 	// moves is how often the attempt was moved.
 	moves int
+	// revision is that of the view in which the path was last looked at, and
+	// leaveAt when the attempt leaves engines that drain; zero if there are
+	// none.
+	revision int64
+	leaveAt  time.Time
 }
 
 // news is one step of an attempt: the head of its answer, or an event.
@@ -96,16 +101,15 @@
 		return notSent
 	}
 	if n.event.err != nil {
-		s.ran(a.first.Address)
+		s.mayRun(a.first)
 		return "broken_answer"
 	}
 	if n.answer.NotRun {
 		s.shun(n.answer, a.first)
 		return "not_run"
 	}
-	s.ran("")
+	s.mayRun(a.first)
 	if n.answer.Status != http.StatusOK || !n.answer.Sealed {
-		s.tried[a.first.Address] = true
 		s.failed = n.answer
 		return "failed_by_replica"
 	}
@@ -116,13 +120,10 @@
 	return ""
 }
 
-// ran notes that an engine has, or may have, run the request.
-func (s *stream) ran(broken string) {
+// mayRun notes that a replica has, or may have, run the request.
+func (s *stream) mayRun(r replica.Replica) {
 	s.mayHaveRun = true
-	s.runs++
-	if broken != "" {
-		s.tried[broken] = true
-	}
+	s.ran[r.Address] = true
 }
 
 // shun leaves the engine that refused the stream out for a moment.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
+
+	"bulrushshed/replica"
 )
 
 const (
@@ -23,6 +26,10 @@
 	silence = 1500 * time.Millisecond
 	// orderTimeout bounds an order to an engine.
 	orderTimeout = 250 * time.Millisecond
+	// leaveFrom and leaveTo bound the spread of times at which streams leave an
+	// engine that drains.
+	leaveFrom = 700 * time.Millisecond
+	leaveTo   = 1500 * time.Millisecond
 	// maxMoves bounds how often one attempt is moved.
 	maxMoves = 3
 )
@@ -100,11 +107,15 @@
 // leave gives the attempt up if another one can take over; if not, it may still
 // come back.
 func (s *stream) leave(why string) string {
-	s.tried[s.at.first.Address] = true
-	if !s.at.settled && s.runs+1 >= s.rule.MaxAttempts {
+	first := s.at.first.Address
+	ran := maps.Clone(s.ran)
+	ran[first] = true
+	if len(ran) == 1 && s.rule.MaxAttempts == 1 {
 		return ""
 	}
-	if s.barred() != "" || !s.f.Planner.Has(s.f.Replicas.View(), s.ask(), time.Now()) {
+	ask := s.askBut(ran)
+	ask.Avoid[first] = true
+	if s.barred() != "" || !s.f.Planner.Has(s.f.Replicas.View(), ask, time.Now()) {
 		return ""
 	}
 	if !s.f.Budget.Repeat(s.service.Name, time.Now()) {
@@ -114,6 +125,40 @@
 	return why
 }
 
+// leaveDraining takes the stream off engines that drain, or whose entry is gone,
+// before they end. The streams of an engine leave one after the other, so that
+// those that take over read their tokens in turn; many have ended by then.
+func (s *stream) leaveDraining(now time.Time) {
+	a := s.at
+	v := s.f.Replicas.View()
+	if v.Revision != a.revision {
+		a.revision = v.Revision
+		a.leaveAt = time.Time{}
+		if len(s.draining(v)) > 0 {
+			a.leaveAt = now.Add(spread(leaveFrom, leaveTo))
+		}
+	}
+	if a.leaveAt.IsZero() || now.Before(a.leaveAt) {
+		return
+	}
+	a.leaveAt = time.Time{}
+	if without := s.draining(v); len(without) > 0 && s.movable(without) {
+		s.repath("engine_leaving", without)
+	}
+}
+
+// draining returns the engines of the path, but for the first, that drain or
+// are not listed any more.
+func (s *stream) draining(v *replica.View) []string {
+	var all []string
+	for _, h := range s.at.path.Hops[1:] {
+		if r, ok := v.At(h.Address); !ok || r.Draining {
+			all = append(all, h.Address)
+		}
+	}
+	return all
+}
+
 // repath takes the running stream to a path without some engines: the others
 // keep what they hold of it.
 func (s *stream) repath(why string, without []string) bool {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"strconv"
 	"time"
 
@@ -21,8 +22,8 @@
 	usualAnswer = 150
 	// firstEvent is the number of a stream's first event; 0 is taken, too.
 	firstEvent = 1
-	// extraSends is how many sends beyond a rule's attempts a stream may take
-	// if replicas refuse it.
+	// extraSends is how many sends beyond a rule's attempts a stream may take,
+	// if replicas refuse it or one of them gets it again.
 	extraSends = 2
 )
 
@@ -50,12 +51,14 @@
 	head *Answer
 	// failed is what a replica answered that failed the request, or nil.
 	failed *Answer
-	// runs counts the replicas that have, or may have, run the request, and
-	// unreachable those that could not be reached.
-	runs        int
+	// ran names the replicas that have, or may have, run the request, and
+	// unreachable counts those that could not be reached.
+	ran         map[string]bool
 	unreachable int
 	// paid is set if the budget has been charged for the next attempt.
 	paid bool
+	// left is where the last attempt began, once it has ended.
+	left string
 	// last is the number of the last event that the caller has or gets now;
 	// -1 if there is none.
 	last int64
@@ -71,7 +74,7 @@
 
 // stream serves a request by events. It answers when the first one is there.
 func (c *call) stream(ctx context.Context, cancel context.CancelFunc) *Response {
-	s := &stream{call: c, ctx: ctx, cancel: cancel, last: -1}
+	s := &stream{call: c, ctx: ctx, cancel: cancel, last: -1, ran: map[string]bool{}}
 	if n, err := strconv.ParseInt(c.req.LastEvent, 10, 64); err == nil {
 		s.last = n
 	}
@@ -128,8 +131,24 @@
 	return ""
 }
 
-func (s *stream) ask() pipeline.Ask {
-	return pipeline.Ask{Service: s.service.Name, Model: s.service.Model, Tokens: s.tokens(), Avoid: s.tried}
+// ask is what the stream needs of a path.
+func (s *stream) ask() pipeline.Ask { return s.askBut(s.ran) }
+
+// askBut is what the stream needs of a path if some replicas have run it. Once
+// these are as many as its rule allows, only one of them may get it again.
+func (s *stream) askBut(ran map[string]bool) pipeline.Ask {
+	a := pipeline.Ask{Service: s.service.Name, Model: s.service.Model, Tokens: s.tokens(), Avoid: maps.Clone(s.tried)}
+	if len(ran) < s.rule.MaxAttempts {
+		return a
+	}
+	a.First = ran
+	for address := range ran {
+		delete(a.Avoid, address)
+	}
+	if len(ran) > 1 && s.left != "" {
+		a.Avoid[s.left] = true
+	}
+	return a
 }
 
 // barred returns why no attempt may begin now, or "".
@@ -140,9 +159,9 @@
 	switch {
 	case s.ctx.Err() != nil || time.Until(s.end) < leastLeft:
 		return causeDeadline
-	case s.runs >= s.rule.MaxAttempts, s.sends >= s.rule.MaxAttempts+extraSends, s.unreachable > maxUnreachable:
+	case s.sends >= s.rule.MaxAttempts+extraSends, s.unreachable > maxUnreachable:
 		return causeAttempts
-	case s.runs > 0 && !s.rule.Resumable:
+	case len(s.ran) > 0 && !s.rule.Resumable:
 		return "not_resumable"
 	}
 	return ""
@@ -212,9 +231,11 @@
 	if !e.numbered {
 		return event{}, "not_an_event"
 	}
-	s.at.beat.Event(time.Now())
+	now := time.Now()
+	s.at.beat.Event(now)
 	s.at.looks = 0
 	s.at.events++
+	s.leaveDraining(now)
 	if e.id <= s.last {
 		return event{}, ""
 	}
@@ -229,10 +250,11 @@
 func (s *stream) resume(why string) (cause string) {
 	broken := s.at
 	s.drop()
-	s.tried[broken.first.Address] = true
+	s.left = broken.first.Address
+	s.tried[s.left] = true
 	s.f.Counter.Resumed(why)
 	s.f.Log.Info("forward: resuming", "request", s.req.ID, "cause", why, "replica", broken.first.ID,
-		"last_event", s.last, "sends", s.sends, "runs", s.runs)
+		"last_event", s.last, "sends", s.sends, "ran", len(s.ran))
 	return s.begin()
 }
 
@@ -242,7 +264,7 @@
 		return
 	}
 	if !s.at.settled {
-		s.ran(s.at.first.Address)
+		s.mayRun(s.at.first)
 	}
 	s.at.stop()
 	s.at = nil
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -16,6 +16,8 @@
 	"pgregory.net/rapid"
 
 	"bulrushshed/forward"
+	"bulrushshed/replica"
+	"bulrushshed/route"
 )
 
 // splitEvents returns the numbers of events.
@@ -158,6 +160,70 @@
 	return n, nil
 }
 
+// When as many replicas have run a stream as its rule allows, one of them may get
+// it again; a third one may not.
+func TestAStreamMayReturnToAReplica(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(10)
+		w.replicas.Put(replica.Replica{
+			ID: "e4", Service: "model", Address: "e4", FailureDomain: "a", Started: 1, Accelerator: "small", Layers: route.Range{From: 0, To: 2},
+		})
+		n := 0
+		answer := func(forward.Send) (*forward.Answer, error) {
+			if n++; n <= 2 {
+				return nil, errors.New("reset")
+			}
+			return whole(200, "id: 1\ndata: t\n\n"), nil
+		}
+		for _, first := range []string{"e0", "e1", "e4"} {
+			w.upstream.answers[first] = answer
+		}
+		ids, err := read(t, w.forwarder.Do(t.Context(), request("stream")))
+		is.NoErr(err)
+		is.Equal(ids, upTo(1))
+		sent := w.upstream.sent()
+		is.Equal(len(sent), 3)
+		is.True(sent[0].Replica.Address != sent[1].Replica.Address)
+		is.Equal(sent[2].Replica.Address, sent[0].Replica.Address) // the one that failed last is left
+	})
+}
+
+// A stream leaves an engine that drains before that ends, without a new attempt.
+func TestAStreamLeavesAnEngineThatDrains(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		leave func(w *world, r replica.Replica)
+	}{
+		{"drains", func(w *world, r replica.Replica) {
+			r.Draining = true
+			w.replicas.Put(r)
+		}},
+		{"is not listed any more", func(w *world, r replica.Replica) { w.replicas.Remove(r.ID, time.Now()) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(10)
+				w.upstream.events = 100
+				resp := w.forwarder.Do(t.Context(), request("stream"))
+				address := w.upstream.sent()[0].Path.Hops[1].Address
+				r, _ := w.replicas.View().At(address)
+				c.leave(w, r)
+				time.AfterFunc(2*time.Second, func() { w.upstream.lose(address) })
+				ids, err := read(t, resp)
+				is.NoErr(err)
+				is.Equal(ids, upTo(100))
+				is.Equal(w.upstream.moves, 1)
+				is.Equal(len(w.upstream.sent()), 1)
+			})
+		})
+	}
+}
+
 // A stream that breaks off for good must not look complete.
 func TestAStreamThatIsLostDoesNotLookComplete(t *testing.T) {
 	t.Parallel()
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -85,7 +85,7 @@
 func newWorld(budget float64) *world {
 	w := &world{replicas: replica.NewList(time.Second), tables: &tables{}}
 	w.tables.set(ingress.NewTable(config()), true)
-	w.upstream = &upstream{gone: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.Answer, error){}, streams: map[string]*running{}}
+	w.upstream = &upstream{gone: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.Answer, error){}, streams: map[string]*running{}, events: events}
 	for i, held := range []route.Range{{From: 0, To: 2}, {From: 0, To: 2}, {From: 2, To: 4}, {From: 2, To: 4}} {
 		w.replicas.Put(replica.Replica{
 			ID: fmt.Sprintf("e%d", i), Service: "model", Address: fmt.Sprintf("e%d", i), FailureDomain: "a",
@@ -123,8 +123,9 @@
 	answers map[string]func(forward.Send) (*forward.Answer, error)
 	sends   []forward.Send
 	moves   int
-	// streams are those that run, by request.
+	// streams are those that run, by request, of so many events each.
 	streams map[string]*running
+	events  int
 }
 
 // running is the path of a stream, which a repath changes.
@@ -150,7 +151,7 @@
 	return u.stream(ctx, s), nil
 }
 
-// events is the number of events of a whole stream.
+// events is the number of events of a whole stream, if a test does not say.
 const events = 12
 
 // stream answers with the events behind the last one that the caller has, as
@@ -166,7 +167,7 @@
 	}
 	out, in := io.Pipe()
 	go func() {
-		for id := from + 1; id <= events; {
+		for id := from + 1; id <= u.events; {
 			select {
 			case <-ctx.Done():
 				_ = in.CloseWithError(ctx.Err())
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -99,6 +99,8 @@
 	Tokens int
 	// Avoid names addresses that must not be used.
 	Avoid map[string]bool
+	// First names the addresses at which the path may begin; nil for any.
+	First map[string]bool
 }
 
 // Path returns the best route for a stream and counts the stream on its
@@ -161,7 +163,7 @@
 	hosts := float64(max(p.opts.Hosts(), 1))
 	return route.Prices{
 		Run: func(h route.Holding, layers route.Range) (float64, bool) {
-			if a.Avoid[h.Address] {
+			if a.Avoid[h.Address] || layers.From == 0 && a.First != nil && !a.First[h.Address] {
 				return 0, false
 			}
 			if _, suspect := p.suspects[h.Address]; suspect {
