Send callers elsewhere at once where only this host lacks news

Cause: three hosts that the store turned away refused for want of fresh keys and named 0.1 to 0.6 s to come back, and named themselves to callers. Ruled out: engines, paths.

--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -263,6 +263,7 @@
 	await(t, "stock", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 200 })
 	f.store.setDown(true)
 	await(t, "refusal", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 503 })
+	await(t, "answer without the host", func() bool { return h.addresses(t) == nil })
 	f.store.setDown(false)
 	await(t, "stock again", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 200 })
 }
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -93,7 +93,7 @@
 		peers = near
 	}
 	all := lo.Map(peers, func(p Peer, _ int) string { return p.Address })
-	if h.stopping.Load() {
+	if !h.ready() {
 		all = slices.DeleteFunc(all, func(a string) bool { return a == h.cfg.CallerAddress })
 	}
 	return all[:min(len(all), maxAddresses)]
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -22,6 +22,9 @@
 	// place must come free first.
 	soon  = 100 * time.Millisecond
 	later = 600 * time.Millisecond
+	// elsewhere is when a caller may come back that another host can serve at
+	// once: this one lacks news, not replicas.
+	elsewhere = 20 * time.Millisecond
 	// startWait is how long a request waits for the first configuration, and
 	// startPoll the time between two looks.
 	startWait = 300 * time.Millisecond
@@ -148,7 +151,7 @@
 func (f *Forwarder) refuseEarly(req *Request, cause string) *Response {
 	f.Log.Info("forward: refused", "request", req.ID, "cause", cause)
 	f.Counter.Answered("", "", outcome.NotRun, outcome.Cause(cause), time.Since(req.Arrived))
-	return plainResponse(http.StatusServiceUnavailable, soon+rand.N(later-soon))
+	return Refuse(elsewhere)
 }
 
 func (f *Forwarder) deny(req *Request, t *ingress.Table, err error) *Response {
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -167,7 +167,10 @@
 				w := newWorld(10)
 				req := request("unsafe")
 				c.change(w, req)
-				is.Equal(w.forwarder.Do(t.Context(), req).Status, c.status)
+				resp := w.forwarder.Do(t.Context(), req)
+				is.Equal(resp.Status, c.status)
+				// Another host can serve it at once.
+				is.Equal(resp.RetryAfter > 0 && resp.RetryAfter < 50*time.Millisecond, c.status == http.StatusServiceUnavailable)
 				is.Equal(len(w.upstream.sent()), 0)
 			})
 		})
