--- a/control/cover.go
+++ b/control/cover.go
@@ -106,6 +106,13 @@
 	return h, ok
 }
 
+// Planned reports whether layers are missing only because engines drain. Those do
+// not come back, so that nothing is gained by waiting for them.
+func Planned(m *ingress.Model, sites, draining []Site) bool {
+	_, missing := Repair(m, slices.Concat(sites, draining), func(string) bool { return true })
+	return !missing
+}
+
 // Whole reports whether the sites together hold all layers.
 func Whole(m *ingress.Model, sites []Site) bool {
 	held := make([]bool, m.Layers)
--- a/control/cover_test.go
+++ b/control/cover_test.go
@@ -113,6 +113,29 @@
 	})
 }
 
+// Layers that an engine takes along as it drains are told from those of one that
+// crashed and may be back.
+func TestPlannedLossesAreToldFromCrashes(t *testing.T) {
+	t.Parallel()
+	var left, drains, crashed []control.Site
+	for _, s := range placed(fleetModel, siteFleet()) {
+		switch s.ID {
+		case "a-large-0":
+			drains = append(drains, s)
+		case "c-large-0":
+			crashed = append(crashed, s)
+		default:
+			left = append(left, s)
+		}
+	}
+	if !control.Planned(fleetModel, append(left[:len(left):len(left)], crashed...), drains) {
+		t.Error("got a crash, want a planned loss")
+	}
+	if control.Planned(fleetModel, left, drains) {
+		t.Error("got a planned loss, want a crash beside it")
+	}
+}
+
 // drawSites makes a fleet of which some engines serve.
 func drawSites(t *rapid.T, m *ingress.Model) []control.Site {
 	var sites []control.Site
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/control"
 	"bulrushshed/ingress"
 	"bulrushshed/platform"
@@ -87,19 +89,19 @@
 	v := c.host.replicas.View()
 	t.Services(func(s *ingress.Service) {
 		if s.Model != nil {
-			c.place(ctx, s, v.Of(s.Name), fence)
+			c.place(ctx, s, v, fence)
 		}
 	})
 }
 
 // place gives the free engines of one model what they are to hold, or moves one
 // to layers that nobody holds.
-func (c *controller) place(ctx context.Context, s *ingress.Service, engines []replica.Replica, fence int64) {
+func (c *controller) place(ctx context.Context, s *ingress.Service, v *replica.View, fence int64) {
 	now := time.Now()
 	byID := map[string]replica.Replica{}
 	var sites []control.Site
 	free := 0
-	for _, r := range engines {
+	for _, r := range v.Of(s.Name) {
 		site, ok := c.site(s.Model, r, now)
 		if !ok {
 			continue
@@ -117,7 +119,26 @@
 		c.order(ctx, control.Cover(s.Model, sites), byID, fence)
 		return
 	}
-	c.repair(ctx, s.Model, sites, byID, fence)
+	hold, ok := control.Repair(s.Model, sites, func(id string) bool {
+		_, pending := c.given[engineKey(byID[id])]
+		return !pending
+	})
+	if !ok {
+		c.holed = time.Time{}
+		return
+	}
+	if c.holed.IsZero() {
+		c.holed = now
+	}
+	if now.Sub(c.holed) >= repairPatience || control.Planned(s.Model, sites, drainingSites(s.Model, v.Draining(s.Name))) {
+		c.repair(ctx, byID[hold.ID], hold.Layers, fence)
+	}
+}
+
+func drainingSites(m *ingress.Model, all []replica.Replica) []control.Site {
+	return lo.Map(all, func(r replica.Replica, _ int) control.Site {
+		return control.Site{ID: r.ID, FailureDomain: r.FailureDomain, Accelerator: m.Accelerators[r.Accelerator], Layers: r.Layers}
+	})
 }
 
 // site is what the plan knows of an engine; ok is false for one that is to be
@@ -139,24 +160,9 @@
 	return s, true
 }
 
-// repair moves one engine if that covers layers that nobody in its failure
-// domain holds. One is moved at a time, so that the next look knows of it.
-func (c *controller) repair(ctx context.Context, m *ingress.Model, sites []control.Site, byID map[string]replica.Replica, fence int64) {
-	hold, ok := control.Repair(m, sites, func(id string) bool {
-		_, pending := c.given[engineKey(byID[id])]
-		return !pending
-	})
-	if !ok {
-		c.holed = time.Time{}
-		return
-	}
-	if c.holed.IsZero() {
-		c.holed = time.Now()
-	}
-	if time.Since(c.holed) < repairPatience {
-		return
-	}
-	r := byID[hold.ID]
+// repair moves one engine to layers that nobody in its failure domain holds. One
+// is moved at a time, so that the next look knows of it.
+func (c *controller) repair(ctx context.Context, r replica.Replica, layers route.Range, fence int64) {
 	ask, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := c.host.engines.Report(ask, r)
@@ -168,8 +174,8 @@
 	if report.Busy {
 		return
 	}
-	err = c.hold(ctx, r, hold.Layers, fence, report.Orders)
-	c.note(r, hold.Layers, fence, "repair", err)
+	err = c.hold(ctx, r, layers, fence, report.Orders)
+	c.note(r, layers, fence, "repair", err)
 }
 
 // order sends the orders at once, and notes those that were taken.
--- a/replica/list.go
+++ b/replica/list.go
@@ -36,6 +36,8 @@
 // View is the replicas that may be sent work, at one moment; it is frozen.
 type View struct {
 	byService map[string][]Replica
+	// leaving are those that drain, by service.
+	leaving   map[string][]Replica
 	byAddress map[string]Replica
 	// Revision grows with each view.
 	Revision int64
@@ -44,6 +46,9 @@
 // Of returns the replicas of a service, in order of address.
 func (v *View) Of(service string) []Replica { return v.byService[service] }
 
+// Draining returns the replicas of a service that drain.
+func (v *View) Draining(service string) []Replica { return v.leaving[service] }
+
 // At returns the replica at an address.
 func (v *View) At(address string) (Replica, bool) {
 	r, ok := v.byAddress[address]
@@ -179,7 +184,7 @@
 // publish makes the next view; the lock is held.
 func (l *List) publish() {
 	v := &View{
-		byService: map[string][]Replica{}, byAddress: map[string]Replica{},
+		byService: map[string][]Replica{}, leaving: map[string][]Replica{}, byAddress: map[string]Replica{},
 		Revision: l.view.Load().Revision + 1,
 	}
 	for _, r := range l.entries {
@@ -190,6 +195,7 @@
 	}
 	for _, r := range v.byAddress {
 		if r.Draining {
+			v.leaving[r.Service] = append(v.leaving[r.Service], r)
 			continue
 		}
 		v.byService[r.Service] = append(v.byService[r.Service], r)
