--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 
 // fleet is some hosts before a store and replicas, all in this process.
 type fleet struct {
+	net     string
 	store   *store
 	engines []*replicaStandIn
 	plain   []*replicaStandIn
@@ -58,7 +60,7 @@
 	t.Helper()
 	s := newStore(t)
 	s.put("keyed.op", "config", configuration(1, "k1"))
-	f := &fleet{store: s}
+	f := &fleet{store: s, net: newNet()}
 	for i := range 2 {
 		f.engines = append(f.engines, newReplica(t, s, fmt.Sprintf("e%d", i), "model", "k"))
 		f.plain = append(f.plain, newReplica(t, s, fmt.Sprintf("p%d", i), "plain", ""))
@@ -69,22 +71,23 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+// nets counts the networks of hosts that this process uses.
+var nets atomic.Int32
+
+// newNet returns the first three bytes of addresses that no other test uses; a
+// port that was free a moment ago may be taken.
+func newNet() string {
+	const first, spread = 200, 50
+	return fmt.Sprintf("127.%d.%d", first+os.Getpid()%spread, nets.Add(1))
 }
 
 func (f *fleet) start(t *testing.T, n int) *entryHost {
 	t.Helper()
 	cfg := settings.DefaultHost()
 	cfg.Name, cfg.FailureDomain = fmt.Sprintf("entry-%d", n), "a"
-	cfg.CallerAddress, cfg.ReadyAddress = freeAddress(t), freeAddress(t)
-	cfg.DirectoryAddress, cfg.MetricsAddress = freeAddress(t), freeAddress(t)
+	ip := fmt.Sprintf("%s.%d", f.net, n+1)
+	cfg.CallerAddress, cfg.ReadyAddress = ip+":8080", ip+":8081"
+	cfg.DirectoryAddress, cfg.MetricsAddress = ip+":8082", ip+":8083"
 	cfg.StoreAddress = f.store.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(3 * time.Second)
