--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -155,6 +155,7 @@
 	}
 	if whole {
 		h.replicas.Replace(all, now)
+		h.listed.Store(true)
 	}
 }
 
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -64,7 +64,7 @@
 // keep sends a heartbeat, and reads the members when they have changed. A host
 // joins once it can serve.
 func (g *group) keep(context.Context) {
-	if g.host.table.Load() == nil || g.host.stopping.Load() {
+	if t, _ := g.host.Table(); t == nil || g.host.stopping.Load() {
 		return
 	}
 	sent := bootTime()
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -70,6 +70,8 @@
 	callers  *ingresshttp.Server
 	control  *controller
 
+	// listed is set once the list of replicas has been read.
+	listed atomic.Bool
 	// present counts requests that are being served.
 	present atomic.Int64
 	// stopping is set once, when a graceful stop begins.
@@ -165,8 +167,12 @@
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.lines.dropped.Load()) })
 }
 
-// Table implements forward.Tables.
+// Table implements forward.Tables. Without a list of replicas a configuration is
+// of no use.
 func (h *Host) Table() (t *ingress.Table, fresh bool) {
+	if !h.listed.Load() {
+		return nil, false
+	}
 	fresh, _ = h.fresh.Fresh()
 	return h.table.Load(), fresh
 }
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -258,6 +258,21 @@
 	})
 }
 
+// A host that knows the configuration but not the replicas takes no requests yet:
+// it would refuse them for want of engines.
+func TestAHostWaitsForTheListOfReplicas(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 0)
+	f.store.setUnreadable("keyed.servers")
+	h := f.start(t, 0)
+	await(t, "answer", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status != 0 })
+	is.Equal(first(h.ask(t, "GET", "/nothing/1", "k1")), 503) // not 404: it does not decide yet
+	is.Equal(h.addresses(t), nil)
+	f.store.setUnreadable("")
+	await(t, "stock", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 200 })
+}
+
 // Without the store keys can't be trusted for long; when it is back they can.
 func TestAnOutageOfTheStoreEndsTheTrustInKeys(t *testing.T) {
 	t.Parallel()
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -41,8 +41,8 @@
 
 // ready reports whether the host takes requests.
 func (h *Host) ready() bool {
-	_, fresh := h.Table()
-	return h.table.Load() != nil && fresh && !h.stopping.Load()
+	t, fresh := h.Table()
+	return t != nil && fresh && !h.stopping.Load()
 }
 
 func (h *Host) serveReady(ln net.Listener) error {
--- a/daemon/hosted/standin_test.go
+++ b/daemon/hosted/standin_test.go
@@ -29,6 +29,8 @@
 	members    []member
 	generation int64
 	down       bool
+	// unreadable names a topic that can't be read; "" for none.
+	unreadable string
 }
 
 type record struct{ key, value string }
@@ -49,7 +51,7 @@
 	mux.HandleFunc("GET /api/log-owners", s.owners)
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		down := s.down
+		down := s.down || s.unreadable != "" && r.URL.Query().Get("topic") == s.unreadable
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -82,6 +84,12 @@
 	s.down = down
 }
 
+func (s *store) setUnreadable(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadable = topic
+}
+
 func (s *store) newest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -103,7 +103,7 @@
 
 // logGap tells which layer could not be run.
 func (s *stream) logGap() {
-	layer, held := s.f.Planner.Gap(s.f.Replicas.View(), s.ask())
+	layer, held := s.f.Planner.Gap(s.f.Replicas.View(), s.ask(), time.Now())
 	s.f.Log.Info("forward: no path", "request", s.req.ID, "layer", layer, "engines", held, "tokens", s.tokens())
 }
 
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -111,7 +111,7 @@
 	known := p.mapsOf(v, a)
 	p.forget(now)
 	for _, share := range []float64{fullShare, brimShare} {
-		r, err = p.cheapest(known, a, share)
+		r, err = p.cheapest(known, a, share, now)
 		if err == nil {
 			return r, p.take(r, a.Tokens), nil
 		}
@@ -130,8 +130,8 @@
 }
 
 // cheapest returns the best path that leaves every KV cache below a share.
-func (p *Planner) cheapest(known *maps, a Ask, share float64) (route.Route, error) {
-	prices := p.prices(known, a, share)
+func (p *Planner) cheapest(known *maps, a Ask, share float64, now time.Time) (route.Route, error) {
+	prices := p.prices(known, a, share, now)
 	var best route.Route
 	least := -1.0
 	for _, d := range known.domains {
@@ -159,7 +159,7 @@
 	return route.Route{}, err
 }
 
-func (p *Planner) prices(known *maps, a Ask, share float64) route.Prices {
+func (p *Planner) prices(known *maps, a Ask, share float64, now time.Time) route.Prices {
 	hosts := float64(max(p.opts.Hosts(), 1))
 	return route.Prices{
 		Run: func(h route.Holding, layers route.Range) (float64, bool) {
@@ -169,7 +169,7 @@
 			if _, suspect := p.suspects[h.Address]; suspect {
 				return 0, false
 			}
-			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), hosts)
+			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), hosts, now)
 			if used > share {
 				return 0, false
 			}
@@ -188,9 +188,9 @@
 // used is the share of an engine's KV cache that is in use with a stream more:
 // by its own word, if that is recent, or else as if all hosts had as much there
 // as this one.
-func (p *Planner) used(address string, room, more, hosts float64) float64 {
+func (p *Planner) used(address string, room, more, hosts float64, now time.Time) float64 {
 	room = max(room, 1)
-	if r, ok := p.reports[address]; ok {
+	if r, ok := p.reports[address]; ok && now.Sub(r.at) <= fullLife {
 		return r.full + hosts*more/room
 	}
 	return (hosts*p.cells[address] + more) / room
@@ -211,8 +211,12 @@
 	p.reports[address] = report{slowness: slowness, full: full, at: now}
 }
 
-// reportLife is how long an engine's own word is trusted.
-const reportLife = 2500 * time.Millisecond
+const (
+	// slowLife is how long an engine that said that it is slow counts as such,
+	// and fullLife how long its word of its KV cache is used.
+	slowLife = 6 * time.Second
+	fullLife = 2500 * time.Millisecond
+)
 
 // Slow reports whether an engine said lately that it is slow.
 func (p *Planner) Slow(address string) bool {
@@ -232,7 +236,7 @@
 	defer p.mu.Unlock()
 	known := p.mapsOf(v, a)
 	p.forget(now)
-	prices := p.keeping(p.prices(known, a, brimShare), old)
+	prices := p.keeping(p.prices(known, a, brimShare, now), old)
 	for _, d := range known.domains {
 		if d.domain == domainOf(v, old) {
 			if r, _, err = d.m.Cheapest(prices); err == nil {
@@ -287,11 +291,11 @@
 
 // Gap says why there is no path: the first layer that no engine may run, and
 // how many engines hold it but are full, suspected or avoided.
-func (p *Planner) Gap(v *replica.View, a Ask) (layer, held int) {
+func (p *Planner) Gap(v *replica.View, a Ask, now time.Time) (layer, held int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.mapsOf(v, a)
-	prices := p.prices(known, a, brimShare)
+	prices := p.prices(known, a, brimShare, now)
 	for l := range a.Model.Layers {
 		one := route.Range{From: l, To: l + 1}
 		held = 0
@@ -370,7 +374,7 @@
 		}
 	}
 	for address, r := range p.reports {
-		if now.Sub(r.at) > reportLife {
+		if now.Sub(r.at) > slowLife {
 			delete(p.reports, address)
 		}
 	}
--- a/pipeline/planner_test.go
+++ b/pipeline/planner_test.go
@@ -163,6 +163,9 @@
 	r, _, err := p.Path(v, ask, now)
 	is.NoErr(err)
 	is.Equal(addresses(r), []string{"e1"})
+	r, _, err = p.Path(v, ask, now.Add(5*time.Second)) // it counts as slow for a while
+	is.NoErr(err)
+	is.Equal(addresses(r), []string{"e1"})
 	p.Reported("e0", 1, 0.1, now)
 	p.Reported("e1", 1, 0.99, now)
 	r, _, err = p.Path(v, ask, now)
@@ -191,7 +194,7 @@
 		ask := pipeline.Ask{Service: "s", Model: model(layers), Tokens: 10, Avoid: avoid}
 		r, _, err := p.Path(v, ask, time.Now())
 		if err != nil {
-			if layer, _ := p.Gap(v, ask); layer < 0 && simple(layers, all, avoid, 0, nil) {
+			if layer, _ := p.Gap(v, ask, time.Now()); layer < 0 && simple(layers, all, avoid, 0, nil) {
 				t.Fatalf("got %v, want a path through %v", err, all)
 			}
 			return
