--- a/control/cover.go
+++ b/control/cover.go
@@ -35,6 +35,9 @@
 	// and fleetCopies how often all of them together if no domain can.
 	domainCopies = 1.1
 	fleetCopies  = 2.0
+	// fleetWeight is what a layer counts that lacks room in the whole fleet,
+	// beside one that lacks it in one failure domain: every stream passes it.
+	fleetWeight = 8
 	// urgency is how much more a layer counts that nobody in the failure
 	// domain holds than one that is covered.
 	urgency = 3
@@ -56,6 +59,7 @@
 		}
 		free = append(free, s)
 	}
+	c.serving = Whole(m, sites)
 	slices.SortFunc(free, func(a, b Site) int {
 		return cmp.Or(cmp.Compare(b.Accelerator.MemoryMB, a.Accelerator.MemoryMB), cmp.Compare(a.ID, b.ID))
 	})
@@ -129,12 +133,16 @@
 type coverage struct {
 	model *ingress.Model
 	room  map[string][]float64
+	// fleet is the room in all domains together; it counts once the engines
+	// serve, and not while the first ones are placed.
+	fleet   []float64
+	serving bool
 	// step is the room that each engine is to have.
 	step float64
 }
 
 func newCoverage(m *ingress.Model, sites []Site) *coverage {
-	c := &coverage{model: m, room: map[string][]float64{}}
+	c := &coverage{model: m, room: map[string][]float64{}, fleet: make([]float64, m.Layers)}
 	for _, s := range sites {
 		if c.room[s.FailureDomain] == nil {
 			c.room[s.FailureDomain] = make([]float64, m.Layers)
@@ -202,29 +210,36 @@
 	room := sign * c.model.Cells(s.Accelerator, r.Len()) / float64(r.Len())
 	for l := max(r.From, 0); l < min(r.To, c.model.Layers); l++ {
 		c.room[s.FailureDomain][l] += room
+		c.fleet[l] += room
 	}
 }
 
 // need sums up how much each layer of a failure domain needs another engine: 1
-// for a layer that nobody holds, and little for one with much room.
+// for a layer that nobody there holds, little for one with much room, and more if
+// the whole fleet lacks room in it.
 func (c *coverage) need(domain string) float64 {
 	sum := 0.0
-	for _, room := range c.room[domain] {
-		sum += c.layerNeed(room)
+	for l := range c.model.Layers {
+		sum += c.layerNeed(domain, l)
 	}
 	return sum
 }
 
-func (c *coverage) layerNeed(room float64) float64 {
-	return math.Pow(1+max(room, 0)/c.step, -urgency)
+func (c *coverage) layerNeed(domain string, l int) float64 {
+	lack := func(room float64) float64 { return math.Pow(1+max(room, 0)/c.step, -urgency) }
+	need := lack(c.room[domain][l])
+	if c.serving {
+		need += fleetWeight * lack(c.fleet[l])
+	}
+	return need
 }
 
 // best returns the range of n layers that most needs another engine in a
 // failure domain.
 func (c *coverage) best(domain string, n int) route.Range {
 	need := make([]float64, c.model.Layers)
-	for l, room := range c.room[domain] {
-		need[l] = c.layerNeed(room)
+	for l := range need {
+		need[l] = c.layerNeed(domain, l)
 	}
 	best, most := 0, -1.0
 	for from := 0; from+n <= c.model.Layers; from++ {
--- a/control/cover_test.go
+++ b/control/cover_test.go
@@ -136,6 +136,26 @@
 	}
 }
 
+// A newcomer takes layers that one engine of the whole fleet holds rather than
+// those that only its failure domain lacks.
+func TestTheFleetsScarcestLayersComeFirst(t *testing.T) {
+	t.Parallel()
+	m := &ingress.Model{Layers: 4, LayerMB: 1000, KVTokenMB: 0.04}
+	acc := ingress.Accelerator{MemoryMB: 3000}
+	lower, upper := route.Range{From: 0, To: 2}, route.Range{From: 2, To: 4}
+	sites := []control.Site{
+		{ID: "c1", FailureDomain: "c", Accelerator: acc, Layers: upper},
+		{ID: "new", FailureDomain: "c", Accelerator: acc},
+	}
+	for _, domain := range []string{"a", "b", "d", "e"} {
+		sites = append(sites, control.Site{ID: domain, FailureDomain: domain, Accelerator: acc, Layers: lower})
+	}
+	holds := control.Cover(m, sites)
+	if len(holds) != 1 || holds[0].Layers != upper {
+		t.Fatalf("got %v, want layers %v, which one engine holds", holds, upper)
+	}
+}
+
 // drawSites makes a fleet of which some engines serve.
 func drawSites(t *rapid.T, m *ingress.Model) []control.Site {
 	var sites []control.Site
