--- a/forward/stream.go
+++ b/forward/stream.go
@@ -288,7 +288,11 @@
 // conclude ends the stream.
 func (s *stream) conclude(kind outcome.Kind, cause string) {
 	s.ended = true
-	s.finish(kind, cause, "first_ms", s.first.Milliseconds(), "max_gap_ms", s.gap.Milliseconds(), "last_event", s.last)
+	replica := ""
+	if s.at != nil {
+		replica = s.at.first.ID
+	}
+	s.finish(kind, cause, "replica", replica, "first_ms", s.first.Milliseconds(), "max_gap_ms", s.gap.Milliseconds(), "last_event", s.last)
 	s.drop()
 	s.cancel()
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -17,7 +17,7 @@
 	crossTime = 8 * time.Millisecond
 	// awayTime is the price of a path that begins in another failure domain
 	// than the host's.
-	awayTime = 8 * time.Millisecond
+	awayTime = 25 * time.Millisecond
 	// crowding is how much dearer an engine is whose KV cache is full.
 	crowding = 8
 	// fullShare is the share of a KV cache up to which streams are placed
