Read as a newcomer: split large files, share the loop, drop what nothing uses, pass priorities on

The planner's file held four ideas, the host's five. The loop that calls a function each period stood twice, as did the small servers' logger. Fields of the wire that nothing reads are not decoded any more. A customer's or rule's priority goes to the replica, as operators would expect.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
 	"bulrushshed/hostlog"
+	"bulrushshed/loop"
 	"bulrushshed/meter"
 	"bulrushshed/operator"
 	"bulrushshed/peer"
@@ -192,33 +193,15 @@
 		d.node.Serve(ctx),
 		d.keeper.Follow(ctx, pacedLog{d}, d),
 		d.canceller.serve(ctx),
-		every(ctx, d.cfg.Times.HostsEvery.D(), d.readHosts),
-		every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
-		every(ctx, d.cfg.Times.StatusEvery.D()/hurry, d.readStatuses),
-		every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
+		loop.Every(ctx, d.cfg.Times.HostsEvery.D(), d.readHosts),
+		loop.Every(ctx, d.cfg.Times.HostsEvery.D(), d.announce),
+		loop.Every(ctx, d.cfg.Times.StatusEvery.D()/hurry, d.readStatuses),
+		loop.Every(ctx, d.cfg.Times.GossipEvery.D(), d.exchange),
 		d.keepJournal(ctx),
-		every(ctx, leasePoll, d.keepLease),
-		every(ctx, d.cfg.Times.HostsEvery.D(), d.sizePools),
-		every(ctx, shareEvery, d.shareLimits),
-		every(ctx, controlEvery, d.control),
-		every(ctx, d.cfg.Times.CheckpointEvery.D(), d.checkpoint),
+		loop.Every(ctx, leasePoll, d.keepLease),
+		loop.Every(ctx, d.cfg.Times.HostsEvery.D(), d.sizePools),
+		loop.Every(ctx, shareEvery, d.shareLimits),
+		loop.Every(ctx, controlEvery, d.control),
+		loop.Every(ctx, d.cfg.Times.CheckpointEvery.D(), d.checkpoint),
 	}
 }
-
-// every calls f at once and then each period until ctx ends.
-func every(ctx context.Context, period time.Duration, f func(ctx context.Context)) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		t := time.NewTicker(period)
-		defer t.Stop()
-		for ctx.Err() == nil {
-			f(ctx)
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-			}
-		}
-		done <- nil
-	}()
-	return done
-}
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
+	"bulrushshed/ingresshttp"
 	"bulrushshed/platform"
 )
 
@@ -20,25 +21,8 @@
 	enoughNear = 2
 	// maxAddresses bounds an answer.
 	maxAddresses = 64
-	// sideTimeout bounds the small servers' reads and writes.
-	sideTimeout = 5 * time.Second
-	sideIdle    = 30 * time.Second
 )
 
-// sideServer serves one small call beside the callers' requests.
-func sideServer(handle fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{
-		Handler: handle, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout, IdleTimeout: sideIdle,
-		NoDefaultServerHeader: true, Logger: quiet{},
-	}
-	return s.Serve
-}
-
-// quiet drops the server's own lines, which tell of broken connections only.
-type quiet struct{}
-
-func (quiet) Printf(string, ...any) {}
-
 // ready reports whether the host takes requests.
 func (h *Host) ready() bool {
 	t, fresh := h.Table()
@@ -46,7 +30,7 @@
 }
 
 func (h *Host) serveReady(ln net.Listener) error {
-	return sideServer(func(ctx *fasthttp.RequestCtx) {
+	return ingresshttp.Side(func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case string(ctx.Path()) != platform.PathReady:
 			ctx.SetStatusCode(http.StatusNotFound)
@@ -57,11 +41,11 @@
 }
 
 func (h *Host) serveMetrics(ln net.Listener) error {
-	return sideServer(func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })(ln)
+	return ingresshttp.Side(func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })(ln)
 }
 
 func (h *Host) serveDirectory(ln net.Listener) error {
-	return sideServer(func(ctx *fasthttp.RequestCtx) {
+	return ingresshttp.Side(func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != platform.PathAddresses {
 			ctx.SetStatusCode(http.StatusNotFound)
 			return
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -54,7 +54,8 @@
 	}
 	s.at = a
 	send := Send{
-		Request: s.req, Replica: first, Path: path, Left: time.Until(s.end), Customer: s.customer, LastEvent: s.lastEvent(),
+		Request: s.req, Replica: first, Path: path, Left: time.Until(s.end), Customer: s.customer, Priority: s.priority,
+		LastEvent: s.lastEvent(),
 	}
 	go a.run(ctx, s.f.Upstream, send)
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -80,6 +80,7 @@
 	// service is the one drawn for the request.
 	service  *ingress.Service
 	customer string
+	priority int
 	// end is when the caller, or the operator, stops waiting.
 	end time.Time
 	// sends counts the replicas that the request was sent to, and tried names
@@ -107,7 +108,7 @@
 	if err != nil {
 		return f.deny(req, t, err)
 	}
-	c := &call{f: f, req: req, rule: rule, tried: map[string]bool{}}
+	c := &call{f: f, req: req, rule: rule, priority: rule.PriorityOf(customer), tried: map[string]bool{}}
 	if customer != nil {
 		c.customer = customer.Name
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -147,7 +147,7 @@
 func (p *plain) try(r replica.Replica) try {
 	t := try{replica: r}
 	a, err := p.f.Upstream.Send(p.ctx, Send{
-		Request: p.req, Replica: r, Left: time.Until(p.end), Customer: p.customer, LastEvent: p.req.LastEvent,
+		Request: p.req, Replica: r, Left: time.Until(p.end), Customer: p.customer, Priority: p.priority, LastEvent: p.req.LastEvent,
 	})
 	if errors.Is(err, ErrNotSent) {
 		t.again, t.cause = true, notSent
--- a/forward/request.go
+++ b/forward/request.go
@@ -66,6 +66,8 @@
 	Left time.Duration
 	// Customer is the holder of the caller's key, or "".
 	Customer string
+	// Priority is the rank of the request; 0 is first.
+	Priority int
 	// LastEvent is the event behind which the replica goes on, or "".
 	LastEvent string
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,9 +17,6 @@
 	suspectTime = 4 * time.Second
 	// shunTime is how long an engine that refused a stream is left out.
 	shunTime = 300 * time.Millisecond
-	// usualAnswer is the number of tokens of an answer whose length nobody
-	// estimates.
-	usualAnswer = 150
 	// firstEvent is the number of a stream's first event; 0 is taken, too.
 	firstEvent = 1
 	// extraSends is how many sends beyond a rule's attempts a stream may take,
@@ -171,7 +168,7 @@
 func (s *stream) tokens() int {
 	answer := s.req.HintTokens
 	if answer <= 0 {
-		answer = usualAnswer
+		answer = s.service.Model.UsualAnswer
 	}
 	if s.req.MaxTokens > 0 {
 		answer = min(answer, s.req.MaxTokens)
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -55,7 +55,7 @@
 
 var model = &ingress.Model{
 	Layers: layers, LayerMB: 100, KVTokenMB: 0.4, StepTime: time.Millisecond,
-	Accelerators: map[string]ingress.Accelerator{"small": {MemoryMB: 1200, Slowness: 1, PrefillSlowness: 1}},
+	Accelerators: map[string]ingress.Accelerator{"small": {MemoryMB: 1200, Slowness: 1}},
 }
 
 func config() ingress.Config {
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -1,10 +1,6 @@
 package ingress
 
-import (
-	"time"
-
-	"bulrushshed/route"
-)
+import "time"
 
 // Kind says how often a request may run.
 type Kind string
@@ -25,7 +21,6 @@
 	Rules     []Rule
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
 }
 
 // Rule says what serves the requests of one host and path prefix, and how.
@@ -40,9 +35,8 @@
 	// Timeout is the longest time that a caller is kept waiting.
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event of a stream,
-	// and MaxGap the longest pause between two events, for full value.
+	// for full value.
 	Objective time.Duration
-	MaxGap    time.Duration
 	// Priority is 0 for the most urgent.
 	Priority int
 	// MaxAttempts is the number of replicas that one request may be sent to.
@@ -60,9 +54,7 @@
 
 // Service is a set of replicas that serve the same requests.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
+	Name string
 	// Model is nil for a plain service.
 	Model *Model
 }
@@ -77,24 +69,16 @@
 	// StepTime is the time of one token through all layers on the fastest
 	// kind of accelerator.
 	StepTime time.Duration
-	// PrefillRate is how many prompt tokens the fastest kind reads a second.
-	PrefillRate float64
-	// UsualTokens is the mean length of a request, prompt and answer.
-	UsualTokens int
-	// LoadTime is the time to load all layers, if at most ParallelLoads
-	// engines load at once.
-	LoadTime      time.Duration
-	ParallelLoads int
-	Accelerators  map[string]Accelerator
+	// UsualAnswer is the mean length of an answer in tokens.
+	UsualAnswer  int
+	Accelerators map[string]Accelerator
 }
 
 // Accelerator is one kind of accelerator.
 type Accelerator struct {
 	MemoryMB float64
-	// Slowness multiplies Model.StepTime, and PrefillSlowness the time to
-	// read prompt tokens.
-	Slowness        float64
-	PrefillSlowness float64
+	// Slowness multiplies Model.StepTime.
+	Slowness float64
 }
 
 // Cells returns the size of the KV cache of an accelerator that holds so many
@@ -112,9 +96,6 @@
 	return time.Duration(float64(m.StepTime) * a.Slowness / float64(m.Layers))
 }
 
-// Whole returns all layers of the model.
-func (m *Model) Whole() route.Range { return route.Range{From: 0, To: m.Layers} }
-
 // Customer is a holder of keys.
 type Customer struct {
 	Name string
@@ -122,11 +103,3 @@
 	// Priority goes before the one of a rule; nil if there is none.
 	Priority *int
 }
-
-// Limits bound what callers send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -10,7 +10,6 @@
 // frozen once made.
 type Table struct {
 	Version int64
-	Limits  Limits
 
 	// rules finds a rule by its host and prefix, joined.
 	rules    map[string]*Rule
@@ -22,8 +21,8 @@
 // NewTable compiles a configuration.
 func NewTable(cfg Config) *Table {
 	t := &Table{
-		Version: cfg.Version, Limits: cfg.Limits,
-		rules: make(map[string]*Rule, len(cfg.Rules)), services: map[string]*Service{}, customers: map[string]*Customer{},
+		Version: cfg.Version,
+		rules:   make(map[string]*Rule, len(cfg.Rules)), services: map[string]*Service{}, customers: map[string]*Customer{},
 	}
 	for i := range cfg.Rules {
 		r := &cfg.Rules[i]
--- /dev/null
+++ b/loop/doc.go
@@ -0,0 +1,2 @@
+// Package loop runs what has to be done again and again in the background.
+package loop
--- /dev/null
+++ b/pipeline/health.go
@@ -0,0 +1,99 @@
+package pipeline
+
+import "time"
+
+// suspicion says since when and until when an engine is left out.
+type suspicion struct {
+	since time.Time
+	until time.Time
+}
+
+// report is an engine's own word, as of a time.
+type report struct {
+	slowness float64
+	full     float64
+	at       time.Time
+}
+
+// used is the share of an engine's KV cache that is in use with a stream more:
+// by its own word, if that is recent, or else as if all hosts had as much there
+// as this one.
+func (p *Planner) used(address string, room, more, hosts float64, now time.Time) float64 {
+	room = max(room, 1)
+	if r, ok := p.reports[address]; ok && now.Sub(r.at) <= fullLife {
+		return r.full + hosts*more/room
+	}
+	return (hosts*p.cells[address] + more) / room
+}
+
+func (p *Planner) slowness(address string) float64 {
+	if r, ok := p.reports[address]; ok {
+		return max(r.slowness*r.slowness, 1)
+	}
+	return 1
+}
+
+// Reported takes an engine's own word: how many times slower than usual it is,
+// and which share of its KV cache is in use.
+func (p *Planner) Reported(address string, slowness, full float64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports[address] = report{slowness: slowness, full: full, at: now}
+}
+
+const (
+	// slowLife is how long an engine that said that it is slow counts as such,
+	// and fullLife how long its word of its KV cache is used.
+	slowLife = 6 * time.Second
+	fullLife = 2500 * time.Millisecond
+)
+
+// Slow reports whether an engine said lately that it is slow.
+func (p *Planner) Slow(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reports[address].slowness >= slowFrom
+}
+
+// slowFrom is the slowness from which on a stream leaves an engine.
+const slowFrom = 2
+
+// Suspect leaves an engine out of new paths until a time.
+func (p *Planner) Suspect(address string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(time.Now())
+	known, ok := p.suspects[address]
+	if !ok {
+		known.since = time.Now()
+	}
+	if until.After(known.until) {
+		known.until = until
+	}
+	p.suspects[address] = known
+}
+
+// goneAfter is how long an engine must have been suspected to count as gone.
+const goneAfter = 900 * time.Millisecond
+
+// Gone reports whether an engine has been suspected for long.
+func (p *Planner) Gone(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(now)
+	known, ok := p.suspects[address]
+	return ok && now.Sub(known.since) >= goneAfter
+}
+
+func (p *Planner) forget(now time.Time) {
+	for address, known := range p.suspects {
+		if !now.Before(known.until) {
+			delete(p.suspects, address)
+		}
+	}
+	for address, r := range p.reports {
+		if now.Sub(r.at) > slowLife {
+			delete(p.reports, address)
+		}
+	}
+}
--- a/pipeline/planner_test.go
+++ b/pipeline/planner_test.go
@@ -19,7 +19,7 @@
 	return &ingress.Model{
 		Layers: layers, LayerMB: 100, KVTokenMB: 0.1 * float64(layers), StepTime: 10 * time.Millisecond,
 		Accelerators: map[string]ingress.Accelerator{
-			"fast": {MemoryMB: 2000, Slowness: 1, PrefillSlowness: 1}, "slow": {MemoryMB: 2000, Slowness: 5, PrefillSlowness: 5},
+			"fast": {MemoryMB: 2000, Slowness: 1}, "slow": {MemoryMB: 2000, Slowness: 5},
 		},
 	}
 }
--- a/replica/list.go
+++ b/replica/list.go
@@ -29,10 +29,6 @@
 	Version int
 }
 
-// Endpoint returns the name by which plans know the replica; an ID may start
-// again.
-func (r Replica) Endpoint() string { return r.Address }
-
 // View is the replicas that may be sent work, at one moment; it is frozen.
 type View struct {
 	byService map[string][]Replica
--- a/settings/host.go
+++ b/settings/host.go
@@ -25,8 +25,6 @@
 	MemoryMB int `json:"memory_mb"`
 	// Revoke is how long a key may be used once it is taken away.
 	Revoke Duration `json:"revoke"`
-	// Drain is how long a leaving replica may get requests.
-	Drain Duration `json:"drain"`
 	// Grace is the time from the signal to stop to the end.
 	Grace Duration `json:"grace"`
 	// AddressesValidMax bounds how long callers may keep addresses.
@@ -42,7 +40,7 @@
 // DefaultHost returns the settings that a file need not name.
 func DefaultHost() Host {
 	return Host{
-		MemoryMB: 256, Revoke: Duration(5 * time.Second), Drain: Duration(2 * time.Second), Grace: Duration(8 * time.Second),
+		MemoryMB: 256, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
 		Log: Log{Format: "json", Level: "info"},
 	}
@@ -82,7 +80,6 @@
 	c.address("store_address", h.StoreAddress)
 	c.number("memory_mb", h.MemoryMB, maxCount)
 	c.duration("revoke", h.Revoke)
-	c.duration("drain", h.Drain)
 	c.duration("grace", h.Grace)
 	c.duration("addresses_valid_max", h.AddressesValidMax)
 	c.duration("retry_window", h.RetryWindow)
