--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -15,7 +15,7 @@
 	// configWait and replicasWait are how long the store may hold a read that
 	// has no news. The first bounds the age of the proof that keys are good,
 	// the second the time in which a silent connection is noticed.
-	configWait   = 1500 * time.Millisecond
+	configWait   = 1650 * time.Millisecond
 	replicasWait = 2 * time.Second
 	// failPause is the pause behind a read that failed; it doubles with each
 	// further one up to maxFailPause, and varies by half.
@@ -23,7 +23,7 @@
 	maxFailPause = 500 * time.Millisecond
 	// gatherTime is how long changes of the replicas are left to gather before
 	// the next read.
-	gatherTime = 500 * time.Millisecond
+	gatherTime = 700 * time.Millisecond
 )
 
 // follower takes the changes of one topic of the store.
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/platform"
 )
 
@@ -15,13 +17,14 @@
 	groupName = "bulrushshed-hosts"
 	// joinEvery is the time between two heartbeats to the store, and joinLife
 	// how long a host that sends none is taken for alive.
-	joinEvery = 700 * time.Millisecond
+	joinEvery = 900 * time.Millisecond
 	joinLife  = 2500 * time.Millisecond
 	// leaseMargin is how much sooner a holder stops than others may begin.
 	leaseMargin = 700 * time.Millisecond
-	// assumedHosts is the number of hosts that share the work, as long as the
-	// group is not known.
+	// assumedHosts is the number of hosts that share the work, and assumedNear
+	// that of those in this failure domain, as long as the group is not known.
 	assumedHosts = 8
+	assumedNear  = 3
 	// memberFields is the number of fields of a member's name.
 	memberFields = 3
 )
@@ -131,6 +134,17 @@
 	return max(len(g.peers), 1)
 }
 
+// near is the number of hosts in this failure domain, this one included.
+func (g *group) near() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.seen == 0 {
+		return assumedNear
+	}
+	n := lo.CountBy(g.peers, func(p Peer) bool { return p.FailureDomain == g.host.cfg.FailureDomain })
+	return max(n, 1)
+}
+
 // members returns the hosts that take requests, as last known.
 func (g *group) members() []Peer {
 	g.mu.Lock()
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -39,7 +39,7 @@
 		meter:    meter.New(maxCustomers, maxClasses),
 	}
 	h.group = newGroup(h)
-	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, Hosts: h.group.size})
+	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, Near: h.group.near})
 	h.control = newController(h)
 	h.callers = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		Read: platform.DecodeRequest, Passed: platform.Passed, Stopping: h.stopping.Load, Log: h.log,
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -16,14 +16,30 @@
 }
 
 // used is the share of an engine's KV cache that is in use with a stream more:
-// by its own word, if that is recent, or else as if all hosts had as much there
-// as this one.
-func (p *Planner) used(address string, room, more, hosts float64, now time.Time) float64 {
+// by its own word, if that is recent, or else as if the hosts of this failure
+// domain had as much there as this one.
+func (p *Planner) used(address string, room, more, near float64, now time.Time) float64 {
 	room = max(room, 1)
 	if r, ok := p.reports[address]; ok && now.Sub(r.at) <= fullLife {
-		return r.full + hosts*more/room
+		return r.full + near*more/room
 	}
-	return (hosts*p.cells[address] + more) / room
+	return (near*p.cells[address] + more) / room
+}
+
+// mostOthers is the greatest share of other failure domains' KV caches that is
+// taken to be in use without their word: where the own domain is full, they are
+// worth a try.
+const mostOthers = 0.7
+
+// usedNear is the share of the KV caches of this failure domain that is in use.
+// The hosts of other domains are taken to use theirs as much, up to a bound.
+func (p *Planner) usedNear(known *maps, near float64) float64 {
+	cells, room := 0.0, 1.0
+	for _, address := range known.near {
+		cells += p.cells[address]
+		room += known.room[address]
+	}
+	return min(near*cells/room, mostOthers)
 }
 
 func (p *Planner) slowness(address string) float64 {
--- a/pipeline/maps.go
+++ b/pipeline/maps.go
@@ -17,8 +17,10 @@
 	// whole are those of one version over all domains.
 	domains []domainMap
 	whole   []*route.Map
-	// room is the size of each engine's KV cache.
+	// room is the size of each engine's KV cache, and near are the addresses
+	// of those in the host's failure domain.
 	room map[string]float64
+	near []string
 }
 
 type domainMap struct {
@@ -31,12 +33,12 @@
 	if known, ok := p.maps[a.Service]; ok && known.revision == v.Revision && known.model == a.Model {
 		return known
 	}
-	known := newMaps(v, a)
+	known := newMaps(v, a, p.opts.FailureDomain)
 	p.maps[a.Service] = known
 	return known
 }
 
-func newMaps(v *replica.View, a Ask) *maps {
+func newMaps(v *replica.View, a Ask, domain string) *maps {
 	known := &maps{revision: v.Revision, model: a.Model, room: map[string]float64{}}
 	type part struct{ domain, version string }
 	var parts []part
@@ -49,6 +51,9 @@
 		}
 		h := holding(r, a.Service, a.Model.LayerTime(acc))
 		known.room[r.Address] = a.Model.Cells(acc, r.Layers.Len())
+		if r.FailureDomain == domain {
+			known.near = append(known.near, r.Address)
+		}
 		at := part{domain: r.FailureDomain, version: h.Version}
 		if len(byPart[at]) == 0 {
 			parts = append(parts, at)
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -30,8 +30,9 @@
 type Options struct {
 	// FailureDomain is the host's own.
 	FailureDomain string
-	// Hosts returns the number of hosts that share the engines.
-	Hosts func() int
+	// Near returns the number of hosts in the host's failure domain, which
+	// share its engines before others do.
+	Near func() int
 }
 
 // Planner is safe for concurrent use.
@@ -129,7 +130,8 @@
 }
 
 func (p *Planner) prices(known *maps, a Ask, share float64, now time.Time) route.Prices {
-	hosts := float64(max(p.opts.Hosts(), 1))
+	near := float64(max(p.opts.Near(), 1))
+	others := p.usedNear(known, near)
 	return route.Prices{
 		Run: func(h route.Holding, layers route.Range) (float64, bool) {
 			if a.Avoid[h.Address] || layers.From == 0 && a.First != nil && !a.First[h.Address] {
@@ -138,7 +140,10 @@
 			if _, suspect := p.suspects[h.Address]; suspect {
 				return 0, false
 			}
-			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), hosts, now)
+			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), near, now)
+			if h.FailureDomain != p.opts.FailureDomain {
+				used += others
+			}
 			if used > share {
 				return 0, false
 			}
