--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -15,7 +15,7 @@
 	// configWait and replicasWait are how long the store may hold a read that
 	// has no news. The first bounds the age of the proof that keys are good,
 	// the second the time in which a silent connection is noticed.
-	configWait   = 1650 * time.Millisecond
+	configWait   = 1500 * time.Millisecond
 	replicasWait = 2 * time.Second
 	// failPause is the pause behind a read that failed; it doubles with each
 	// further one up to maxFailPause, and varies by half.
