Streams that their callers read wait for a path rather than break off

Ruled out: the change of configuration beside it; no rule of these streams changed. Streams now wait up to 1.7 s, and an engine that refused is left out for 0.3 s, not for good.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -107,7 +107,7 @@
 	}
 	if n.answer.NotRun {
 		s.shun(n.answer, a.first)
-		return "not_run"
+		return causeRefused
 	}
 	s.mayRun(a.first)
 	if n.answer.Status != http.StatusOK || !n.answer.Sealed {
@@ -127,13 +127,13 @@
 	s.ran[r.Address] = true
 }
 
-// shun leaves the engine that refused the stream out for a moment.
+// shun leaves the engine that refused the stream out for a moment; it may have
+// room again behind that.
 func (s *stream) shun(a *Answer, first replica.Replica) {
 	at := a.Fault
 	if at == "" {
 		at = first.Address
 	}
-	s.tried[at] = true
 	s.f.Planner.Suspect(at, time.Now().Add(shunTime))
 }
 
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -160,7 +160,7 @@
 	}
 	if a.NotRun {
 		_ = a.Body.Close()
-		t.again, t.cause = true, "not_run"
+		t.again, t.cause = true, causeRefused
 		return t
 	}
 	t.ran = true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -19,6 +19,10 @@
 	shunTime = 300 * time.Millisecond
 	// firstEvent is the number of a stream's first event; 0 is taken, too.
 	firstEvent = 1
+	// resumePatience is how long a stream that has begun waits for a path, and
+	// resumePause the time between two looks for one.
+	resumePatience = 1700 * time.Millisecond
+	resumePause    = 100 * time.Millisecond
 	// extraSends is how many sends beyond a rule's attempts a stream may take,
 	// if replicas refuse it or one of them gets it again.
 	extraSends = 2
@@ -31,6 +35,8 @@
 	causeDeadline = "deadline"
 	causeBudget   = "budget"
 	causeAttempts = "attempts"
+	// causeRefused means that a replica said that it did not run the request.
+	causeRefused = "not_run"
 	// notSent means that the replica got nothing.
 	notSent = "not_sent"
 )
@@ -248,11 +254,29 @@
 	broken := s.at
 	s.drop()
 	s.left = broken.first.Address
-	s.tried[s.left] = true
+	if why != causeRefused {
+		s.tried[s.left] = true
+	}
 	s.f.Counter.Resumed(why)
 	s.f.Log.Info("forward: resuming", "request", s.req.ID, "cause", why, "replica", broken.first.ID,
 		"last_event", s.last, "sends", s.sends, "ran", len(s.ran))
-	return s.begin()
+	for {
+		cause = s.begin()
+		if cause != causeNoPath && cause != causeBudget || !s.mayWait() {
+			return cause
+		}
+		select {
+		case <-time.After(resumePause):
+		case <-s.ctx.Done():
+			return causeDeadline
+		}
+	}
+}
+
+// mayWait reports whether a stream that its caller is reading may stand still for
+// some more time until a path has room: that is better than to break it off.
+func (s *stream) mayWait() bool {
+	return !s.since.IsZero() && time.Since(s.since) < resumePatience
 }
 
 // drop ends the running attempt. One that has not answered may have run.
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -224,6 +224,34 @@
 	}
 }
 
+// A stream that its caller is reading waits for a path rather than break off.
+func TestAStreamWaitsForAPath(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(10)
+		refusals := 0
+		answer := func(s forward.Send) (*forward.Answer, error) {
+			if s.LastEvent == "" {
+				return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(&brokenReader{text: "id: 1\ndata: t\n\n"}), Sealed: true}, nil
+			}
+			if refusals++; refusals == 1 {
+				return refused(s)
+			}
+			return whole(200, "id: 2\ndata: t\n\n"), nil
+		}
+		w.upstream.answers["e0"], w.upstream.answers["e1"] = answer, answer
+		began := time.Now()
+		ids, err := read(t, w.forwarder.Do(t.Context(), request("stream")))
+		is.NoErr(err)
+		is.Equal(ids, upTo(2))
+		is.True(time.Since(began) >= shunned) // the engine that refused was left alone
+	})
+}
+
+// shunned is how long an engine that refused a stream is left out, at least.
+const shunned = 300 * time.Millisecond
+
 // A stream that breaks off for good must not look complete.
 func TestAStreamThatIsLostDoesNotLookComplete(t *testing.T) {
 	t.Parallel()
