Look for room to move to before an attempt is given up

Cause of the LOST that was left: a move off an engine that is gone was refused for want of room at one engine (409), and the whole attempt was given up for a new one, though eleven of its twelve engines still held the stream.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,8 +30,10 @@
 	events   int
 	// looks is how often the engines were looked at since the last event.
 	looks int
-	// moves is how often the attempt was moved.
-	moves int
+	// moves is how often the attempt was moved, and crowded is set if an
+	// engine had no room for the last move.
+	moves   int
+	crowded bool
 	// revision is that of the view in which the path was last looked at, and
 	// leaveAt when the attempt leaves engines that drain; zero if there are
 	// none.
--- a/forward/request.go
+++ b/forward/request.go
@@ -96,6 +96,7 @@
 	// Report asks an engine for its report.
 	Report(ctx context.Context, r replica.Replica) (Report, error)
 	// Repath moves a running stream to another path with the same first hop.
+	// An engine that can't take it is an *Error of KindNoRoom.
 	Repath(ctx context.Context, r replica.Replica, requestID string, path route.Route) error
 }
 
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	// engine that drains.
 	leaveFrom = 700 * time.Millisecond
 	leaveTo   = 1500 * time.Millisecond
+	// movePatience is how long a stream looks for an engine with room that
+	// takes over from one that is gone, before the attempt is given up.
+	movePatience = time.Second
 	// maxMoves bounds how often one attempt is moved.
 	maxMoves = 3
 )
@@ -101,6 +105,11 @@
 	if s.movable(without) && s.repath(why, without) {
 		return ""
 	}
+	if s.at.crowded && s.at.beat.Since(time.Now()) < movePatience {
+		// Another engine may have room at the next look, and the others keep
+		// what they hold until then.
+		return ""
+	}
 	return s.leave(why)
 }
 
@@ -173,8 +182,10 @@
 		"last_event", s.last, "hops", len(path.Hops))
 	if err != nil {
 		release()
+		s.crowd(err)
 		return false
 	}
+	s.at.crowded = false
 	s.at.release()
 	s.at.release = release
 	s.at.path = path
@@ -187,6 +198,19 @@
 	return true
 }
 
+// crowd leaves an engine that has no room for the stream out for a moment.
+func (s *stream) crowd(err error) {
+	var e *Error
+	if !errors.As(err, &e) {
+		s.at.crowded = false
+		return
+	}
+	s.at.crowded = true
+	if e.Address != "" {
+		s.f.Planner.Suspect(e.Address, time.Now().Add(shunTime))
+	}
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -224,6 +224,33 @@
 	}
 }
 
+// A move that finds no room is tried again: the attempt is not given up, as its
+// other engines keep what they hold.
+func TestAStreamLooksForRoomToMoveTo(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(10)
+		resp := w.forwarder.Do(t.Context(), request("stream"))
+		path := w.upstream.sent()[0].Path
+		other := map[string]string{"e2": "e3", "e3": "e2"}[path.Hops[1].Address]
+		w.upstream.mu.Lock()
+		w.upstream.full = map[string]bool{other: true}
+		w.upstream.mu.Unlock()
+		w.upstream.lose(path.Hops[1].Address)
+		time.AfterFunc(500*time.Millisecond, func() {
+			w.upstream.mu.Lock()
+			defer w.upstream.mu.Unlock()
+			w.upstream.full = nil
+		})
+		ids, err := read(t, resp)
+		is.NoErr(err)
+		is.Equal(ids, upTo(events))
+		is.Equal(w.upstream.moves, 1)
+		is.Equal(len(w.upstream.sent()), 1)
+	})
+}
+
 // A stream that its caller is reading waits for a path rather than break off.
 func TestAStreamWaitsForAPath(t *testing.T) {
 	t.Parallel()
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -123,6 +123,8 @@
 	answers map[string]func(forward.Send) (*forward.Answer, error)
 	sends   []forward.Send
 	moves   int
+	// full names engines that have no room for a stream that moves.
+	full map[string]bool
 	// streams are those that run, by request, of so many events each.
 	streams map[string]*running
 	events  int
@@ -210,6 +212,11 @@
 	if !ok {
 		return errors.New("no such request")
 	}
+	for _, h := range path.Hops {
+		if u.full[h.Address] {
+			return &forward.Error{Op: "repath", Kind: forward.KindNoRoom, Address: h.Address}
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.path = path
