--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -279,6 +279,7 @@
 	f := newFleet(t, 1)
 	h := f.hosts[0]
 	await(t, "stock", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 200 })
+	await(t, "members known to the host", func() bool { return f.store.toldMembers() > 0 })
 	f.store.setDown(true)
 	await(t, "refusal", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 503 })
 	await(t, "answer without the host", func() bool { return h.addresses(t) == nil })
--- a/daemon/hosted/standin_test.go
+++ b/daemon/hosted/standin_test.go
@@ -28,7 +28,9 @@
 	// members hold when each member last joined, in order of their coming.
 	members    []member
 	generation int64
-	down       bool
+	// told counts the answers to which members there are.
+	told int
+	down bool
 	// unreadable names a topic that can't be read; "" for none.
 	unreadable string
 }
@@ -84,6 +86,12 @@
 	s.down = down
 }
 
+func (s *store) toldMembers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told
+}
+
 func (s *store) setUnreadable(topic string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,6 +197,7 @@
 func (s *store) owners(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.told++
 	var rows []string
 	for i, m := range s.members {
 		rows = append(rows, fmt.Sprintf(`["hosts0",%d,%q,0]`, i, m.name))
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -167,12 +167,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(10)
-		w.replicas.Put(replica.Replica{
-			ID: "e4", Service: "model", Address: "e4", FailureDomain: "a", Started: 1, Accelerator: "small", Layers: route.Range{From: 0, To: 2},
-		})
 		n := 0
 		answer := func(forward.Send) (*forward.Answer, error) {
-			if n++; n <= 2 {
+			if n++; n == 2 {
+				// A faster engine comes, which may not get the stream any more.
+				w.replicas.Put(replica.Replica{
+					ID: "e4", Service: "model", Address: "e4", FailureDomain: "a", Started: 1, Accelerator: "fast", Layers: route.Range{From: 0, To: 2},
+				})
+			}
+			if n <= 2 {
 				return nil, errors.New("reset")
 			}
 			return whole(200, "id: 1\ndata: t\n\n"), nil
@@ -209,6 +212,7 @@
 				is := is.New(t)
 				w := newWorld(10)
 				w.upstream.events = 100
+				began := time.Now()
 				resp := w.forwarder.Do(t.Context(), request("stream"))
 				address := w.upstream.sent()[0].Path.Hops[1].Address
 				r, _ := w.replicas.View().At(address)
@@ -218,6 +222,7 @@
 				is.NoErr(err)
 				is.Equal(ids, upTo(100))
 				is.Equal(w.upstream.moves, 1)
+				is.True(w.upstream.movedAt.Sub(began) < 2*time.Second) // before the engine ended
 				is.Equal(len(w.upstream.sent()), 1)
 			})
 		})
@@ -231,6 +236,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(10)
+		// Engines of another version could take a new attempt, but not the move.
+		for id, held := range map[string]route.Range{"e5": {From: 0, To: 2}, "e6": {From: 2, To: 4}} {
+			w.replicas.Put(replica.Replica{
+				ID: id, Service: "model", Address: id, FailureDomain: "b", Started: 1, Accelerator: "small", Layers: held, Version: 2,
+			})
+		}
 		resp := w.forwarder.Do(t.Context(), request("stream"))
 		path := w.upstream.sent()[0].Path
 		other := map[string]string{"e2": "e3", "e3": "e2"}[path.Hops[1].Address]
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -55,7 +55,7 @@
 
 var model = &ingress.Model{
 	Layers: layers, LayerMB: 100, KVTokenMB: 0.4, StepTime: time.Millisecond,
-	Accelerators: map[string]ingress.Accelerator{"small": {MemoryMB: 1200, Slowness: 1}},
+	Accelerators: map[string]ingress.Accelerator{"small": {MemoryMB: 1200, Slowness: 1}, "fast": {MemoryMB: 1200, Slowness: 0.1}},
 }
 
 func config() ingress.Config {
@@ -123,6 +123,7 @@
 	answers map[string]func(forward.Send) (*forward.Answer, error)
 	sends   []forward.Send
 	moves   int
+	movedAt time.Time
 	// full names engines that have no room for a stream that moves.
 	full map[string]bool
 	// streams are those that run, by request, of so many events each.
@@ -221,6 +222,7 @@
 	defer r.mu.Unlock()
 	r.path = path
 	u.moves++
+	u.movedAt = time.Now()
 	return nil
 }
 
