--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -47,6 +47,7 @@
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Pulse: pipeline.NewPulse(), Upstream: h.engines,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * budgetShare, Extra: cfg.RetryExtra * budgetShare, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
+			Began: time.Now(),
 		}),
 		Counter: h.meter, Log: h.log,
 	})})
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -20,6 +20,9 @@
 	// Extra is how many more may be, in a window, by all hosts together.
 	Extra  float64
 	Window time.Duration
+	// Began is when the host started. What it spent before, in the same
+	// window, is lost, so it earns its part of Extra over one window.
+	Began time.Time
 	// Hosts returns the number of hosts that share Extra.
 	Hosts func() int
 }
@@ -83,7 +86,8 @@
 			sum += w.requests[i]
 		}
 	}
-	allowed := b.opts.Ratio*sum + b.opts.Extra/float64(max(b.opts.Hosts(), 1))
+	earned := min(float64(now.Sub(b.opts.Began))/float64(b.opts.Window), 1)
+	allowed := b.opts.Ratio*sum + earned*b.opts.Extra/float64(max(b.opts.Hosts(), 1))
 	if spent+1 > allowed {
 		return false
 	}
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -82,3 +82,23 @@
 		t.Fatal("got no repeat behind the window, want one")
 	}
 }
+
+// A host that starts again in a window does not have its part of the extra twice.
+func TestBudgetIsEarnedOverAWindow(t *testing.T) {
+	t.Parallel()
+	began := time.Unix(1_000_000, 0)
+	for after, want := range map[time.Duration]int{0: 0, 5 * time.Second: 6, 10 * time.Second: 12, time.Hour: 12} {
+		b := forward.NewBudget(forward.BudgetOptions{
+			Extra: 12, Window: 10 * time.Second, Began: began, Hosts: func() int { return 1 },
+		})
+		got := 0
+		for range 20 {
+			if b.Repeat("s", began.Add(after)) {
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("got %d repeats %v behind the start, want %d", got, after, want)
+		}
+	}
+}
