Relay a held answer in one way, and refuse in one way

An answer of a replica was read and wrapped twice, for plain requests and for failed streams; the refusal's status stood twice.

--- a/daemon/hosted/body.go
+++ b/daemon/hosted/body.go
@@ -4,11 +4,15 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"bulrushshed/forward"
 	"bulrushshed/ingresshttp"
 )
 
+// stopRetry is when a caller that a stopping host refuses may try another one.
+const stopRetry = 50 * time.Millisecond
+
 // counted counts the requests that are being served.
 type counted struct {
 	host *Host
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -91,9 +91,6 @@
 	return h.table.Load(), fresh
 }
 
-// stopRetry is when a caller that a stopping host refuses may try another one.
-const stopRetry = 50 * time.Millisecond
-
 // Run serves until stop ends, and then stops gracefully. The injector holds
 // what Wire provided.
 func Run(stop context.Context, i do.Injector) error {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -187,7 +187,7 @@
 // refuse ends a request that no replica has run.
 func (c *call) refuse(cause string, after time.Duration) *Response {
 	c.finish(outcome.NotRun, cause)
-	return plainResponse(http.StatusServiceUnavailable, after)
+	return Refuse(after)
 }
 
 // fail ends a request that may have run.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -164,38 +164,34 @@
 		return t
 	}
 	t.ran = true
-	body, err := readWhole(a)
+	err = hold(a)
 	switch {
 	case err != nil:
 		t.again, t.cause = safe, "broken_body"
 	case a.Status < http.StatusMultipleChoices && !a.Sealed:
 		t.again, t.cause = safe, "unsigned"
 	default:
-		t.resp = wholeResponse(a, body)
+		t.resp = relay(a)
 		t.again, t.cause = safe && a.Status >= failing, "failed_by_replica"
 	}
 	return t
 }
 
-func wholeResponse(a *Answer, body []byte) *Response {
-	return &Response{Status: a.Status, Header: a.Header, Length: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
+// relay returns what the caller gets of a replica's answer that is held.
+func relay(a *Answer) *Response {
+	return &Response{Status: a.Status, Header: a.Header, Length: a.Length, Body: a.Body}
 }
 
 // hold reads the body of an answer to its end and keeps it.
 func hold(a *Answer) error {
-	body, err := readWhole(a)
-	a.Body = io.NopCloser(bytes.NewReader(body))
-	return err
-}
-
-// readWhole reads an answer to its end.
-func readWhole(a *Answer) ([]byte, error) {
-	defer func() { _ = a.Body.Close() }()
+	defer func(body io.Closer) { _ = body.Close() }(a.Body)
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBody))
 	if err == nil && len(body) == maxPlainBody {
 		err = io.ErrShortBuffer
 	}
-	return body, err
+	a.Length = int64(len(body))
+	a.Body = io.NopCloser(bytes.NewReader(body))
+	return err
 }
 
 // spread returns a random time between two bounds.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -96,7 +96,7 @@
 	s.drop()
 	if s.failed != nil && s.failed.Sealed {
 		c.finish(outcome.Answered, "failed_by_replica")
-		return &Response{Status: s.failed.Status, Header: s.failed.Header, Length: -1, Body: s.failed.Body}
+		return relay(s.failed)
 	}
 	if cause == causeNoPath && !c.mayHaveRun {
 		s.logGap()
