Drop the lengths of answers, which nothing reads

The server sets the length of a body that it holds, and streams have none. Tests keep their assertions; only the unread field left their literals.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -179,7 +179,7 @@
 
 // relay returns what the caller gets of a replica's answer that is held.
 func relay(a *Answer) *Response {
-	return &Response{Status: a.Status, Header: a.Header, Length: a.Length, Body: a.Body}
+	return &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 }
 
 // hold reads the body of an answer to its end and keeps it.
@@ -189,7 +189,6 @@
 	if err == nil && len(body) == maxPlainBody {
 		err = io.ErrShortBuffer
 	}
-	a.Length = int64(len(body))
 	a.Body = io.NopCloser(bytes.NewReader(body))
 	return err
 }
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -26,7 +26,7 @@
 		return a, nil
 	}
 	cut = func(forward.Send) (*forward.Answer, error) {
-		return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(&brokenReader{text: "o"}), Sealed: true}, nil
+		return &forward.Answer{Status: 200, Body: io.NopCloser(&brokenReader{text: "o"}), Sealed: true}, nil
 	}
 	unsigned = func(forward.Send) (*forward.Answer, error) {
 		a := whole(200, "ok")
--- a/forward/request.go
+++ b/forward/request.go
@@ -46,8 +46,6 @@
 type Response struct {
 	Status int
 	Header []Field
-	// Length is the length of the body, or -1 if it ends with the stream.
-	Length int64
 	Body   io.ReadCloser
 	// RetryAfter is when a refused request may come back, or 0.
 	RetryAfter time.Duration
@@ -76,8 +74,6 @@
 type Answer struct {
 	Status int
 	Header []Field
-	// Length is the length of the body, or -1 if it is not known.
-	Length int64
 	Body   io.ReadCloser
 	// NotRun is set if the replica says that it did not run the request.
 	NotRun bool
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -89,7 +89,7 @@
 		if cause == "" {
 			s.deliver(e)
 			s.f.Counter.FirstToken(c.customer, c.rule.Name, time.Since(c.req.Arrived))
-			return &Response{Status: s.head.Status, Header: s.head.Header, Length: -1, Body: s, Streaming: true}
+			return &Response{Status: s.head.Status, Header: s.head.Header, Body: s, Streaming: true}
 		}
 	}
 	defer cancel()
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -87,7 +87,7 @@
 				w := newWorld(10)
 				breaks := func(forward.Send) (*forward.Answer, error) {
 					body := &brokenReader{text: "id: 1\ndata: t\n\nid: 2\ndata: t\n\nid: 3\ndata: t\n\n" + c.tail}
-					return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(body), Sealed: true}, nil
+					return &forward.Answer{Status: 200, Body: io.NopCloser(body), Sealed: true}, nil
 				}
 				w.upstream.answers["e0"] = once(breaks)
 				w.upstream.answers["e1"] = w.upstream.answers["e0"]
@@ -271,7 +271,7 @@
 		refusals := 0
 		answer := func(s forward.Send) (*forward.Answer, error) {
 			if s.LastEvent == "" {
-				return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(&brokenReader{text: "id: 1\ndata: t\n\n"}), Sealed: true}, nil
+				return &forward.Answer{Status: 200, Body: io.NopCloser(&brokenReader{text: "id: 1\ndata: t\n\n"}), Sealed: true}, nil
 			}
 			if refusals++; refusals == 1 {
 				return refused(s)
@@ -297,7 +297,7 @@
 		is := is.New(t)
 		w := newWorld(0)
 		breaks := func(forward.Send) (*forward.Answer, error) {
-			return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(&brokenReader{text: "id: 1\ndata: t\n\n"}), Sealed: true}, nil
+			return &forward.Answer{Status: 200, Body: io.NopCloser(&brokenReader{text: "id: 1\ndata: t\n\n"}), Sealed: true}, nil
 		}
 		w.upstream.answers["e0"], w.upstream.answers["e1"] = breaks, breaks
 		ids, err := read(t, w.forwarder.Do(t.Context(), request("stream")))
@@ -385,7 +385,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(10)
 			answer := func(s forward.Send) (*forward.Answer, error) {
-				return &forward.Answer{Status: 200, Length: -1, Body: io.NopCloser(&brokenReader{text: spoil(s, script)}), Sealed: true}, nil
+				return &forward.Answer{Status: 200, Body: io.NopCloser(&brokenReader{text: spoil(s, script)}), Sealed: true}, nil
 			}
 			w.upstream.answers["e0"], w.upstream.answers["e1"] = answer, answer
 			resp := w.forwarder.Do(t.Context(), request("stream"))
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -184,7 +184,7 @@
 		}
 		_ = in.Close()
 	}()
-	return &forward.Answer{Status: 200, Length: -1, Body: out, Sealed: true}
+	return &forward.Answer{Status: 200, Body: out, Sealed: true}
 }
 
 func (u *upstream) passes(r *running) bool {
@@ -240,7 +240,7 @@
 }
 
 func whole(status int, body string) *forward.Answer {
-	return &forward.Answer{Status: status, Length: int64(len(body)), Body: io.NopCloser(stringReader(body)), Sealed: true}
+	return &forward.Answer{Status: status, Body: io.NopCloser(stringReader(body)), Sealed: true}
 }
 
 func stringReader(text string) io.Reader { return &textReader{text: text} }
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -214,7 +214,7 @@
 			t.Parallel()
 			is := is.New(t)
 			h := &handler{body: func(context.Context) *forward.Response {
-				return &forward.Response{Status: 200, Length: -1, Streaming: true, Body: &events{parts: []string{"id: 1\n\n", "id: 2\n\n"}, err: c.end}}
+				return &forward.Response{Status: 200, Streaming: true, Body: &events{parts: []string{"id: 1\n\n", "id: 2\n\n"}, err: c.end}}
 			}}
 			conn := dial(t, serve(t, h, never), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
 			resp := answerOf(t, bufio.NewReader(conn))
