Let one host in sixteen of a failure domain read the store for the others

Cause: every host read the store by itself, 1.5 calls a host and second.

Package feed passes what a few hosts read on to the others over QUIC, in answers that wait for news, with a proof of freshness by the reader's clock. Hosts without a CA know each other by pins in the members' names.

--- /dev/null
+++ b/daemon/hosted/feed.go
@@ -0,0 +1,75 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bulrushshed/feed"
+	"bulrushshed/peer"
+)
+
+const (
+	// fedHosts is how many hosts one that reads the store serves.
+	fedHosts = 15
+	// feedWait is how long a host that reads the store may wait for news
+	// before it answers another one, and feedMargin how much later than that
+	// the answer may come.
+	feedWait   = 600 * time.Millisecond
+	feedMargin = 300 * time.Millisecond
+	// feedRest is how long a host reads the store itself behind a failure of
+	// the host that it was fed by.
+	feedRest = 2 * time.Second
+	// feedIdle is how long a connection between hosts is kept behind the last
+	// sign of the other end, and feedDial bounds its set-up.
+	feedIdle = 2 * time.Second
+	feedDial = 500 * time.Millisecond
+	// maxFeedBytes bounds one message between hosts.
+	maxFeedBytes = 16 << 20
+)
+
+// errNoFeed means that a host's answer is of no use.
+var errNoFeed = errors.New("the host does not hear of all news")
+
+// feeder passes what hosts read of the store on among them.
+type feeder struct {
+	host *Host
+	log  *feed.Log
+	node *peer.Node
+}
+
+// newFeeder opens the socket between hosts.
+func newFeeder(h *Host, pinned pinned) (*feeder, error) {
+	f := &feeder{host: h, log: feed.NewLog(h.group.member, h.fresh.Now)}
+	node, err := peer.NewNode(peer.Options{
+		Address: h.cfg.PeerAddress, Timeout: feedDial, MaxBytes: maxFeedBytes, Idle: feedIdle,
+	}, pinned.tls, f, h.log)
+	f.node = node
+	return f, err
+}
+
+// Handle implements peer.Handler.
+func (f *feeder) Handle(ctx context.Context, m peer.Message) peer.Reply {
+	if m.Kind != peer.KindFeed || m.Feed == nil {
+		f.host.log.Warn("feed: unknown message", "kind", string(m.Kind))
+		return peer.Reply{}
+	}
+	ask := *m.Feed
+	ask.Wait = min(ask.Wait, feedWait)
+	a := f.log.Answer(ctx, ask)
+	return peer.Reply{Feed: &a}
+}
+
+// ask asks another host for what it has read of a topic.
+func (f *feeder) ask(ctx context.Context, from Peer, a feed.Ask) (feed.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	defer cancel()
+	r, err := f.node.Call(ctx, from.PeerAddress, peer.Message{Kind: peer.KindFeed, Feed: &a})
+	switch {
+	case err != nil:
+		return feed.Answer{}, err
+	case r.Feed == nil || r.Feed.Host != from.Name || !r.Feed.Usable(a.Next):
+		return feed.Answer{}, errNoFeed
+	}
+	return *r.Feed, nil
+}
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -6,9 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"bulrushshed/ingress"
+	"bulrushshed/feed"
 	"bulrushshed/platform"
-	"bulrushshed/replica"
 )
 
 const (
@@ -34,7 +33,7 @@
 	// gather is the pause behind a read that brought changes.
 	gather time.Duration
 	// apply takes changes; whole is set if they are all that there is.
-	apply func(p platform.Page, whole bool)
+	apply func(p feed.Page, whole bool)
 	// proved notes that all news before a time, by the clock of proofs, is
 	// applied.
 	proved func(sent time.Duration)
@@ -42,135 +41,131 @@
 	lost func()
 }
 
+// cursor is how far a follower has come. Only its loop uses it.
+type cursor struct {
+	follower
+	host *Host
+	// next is the offset to read on from; -1 for the newest of each key.
+	next int64
+	// connected is whether the last read of the store succeeded, and pause the
+	// one behind the next read that fails.
+	connected bool
+	pause     time.Duration
+	// source names the host that feeds this one; "" if there is none. proof is
+	// the newest one by that host's clock, and offset compares the clocks.
+	source string
+	proof  time.Duration
+	offset feed.Offset
+	// rest is until when no other host is asked, and hurry is set when the
+	// next read of the store must not wait: the last answer may be old.
+	rest  time.Time
+	hurry bool
+}
+
 // follow reads a topic's newest records and then its changes, until ctx ends.
 func (h *Host) follow(ctx context.Context, f follower) <-chan error {
 	done := make(chan error, 1)
+	c := &cursor{follower: f, host: h, next: -1, connected: true, pause: failPause}
 	go func() {
 		defer func() { done <- nil }()
-		next, connected := int64(-1), true
-		wait := failPause
 		for ctx.Err() == nil {
-			sent := h.fresh.Now()
-			page, err := h.read(f, next)
-			if err != nil {
-				next = h.failed(f, err, next, &connected)
-				pause(ctx, wait/2+rand.N(wait))
-				wait = min(2*wait, maxFailPause)
+			if from, ok := h.group.source(); ok && time.Now().After(c.rest) {
+				c.feed(ctx, from)
 				continue
 			}
-			wait = failPause
-			if !connected {
-				connected = true
-				h.log.Info("store: regained", "topic", f.topic)
-			}
-			if next < 0 || len(page.Changes) > 0 {
-				f.apply(page, next < 0)
-			}
-			f.proved(sent)
-			next = page.Next
-			if f.gather > 0 && len(page.Changes) > 0 {
-				pause(ctx, f.gather)
-			}
+			c.source = ""
+			c.read(ctx)
 		}
 	}()
 	return done
 }
 
-func (h *Host) read(f follower, next int64) (platform.Page, error) {
-	if next < 0 {
-		return h.store.Newest(f.topic)
+// feed takes news from a host that reads the store.
+func (c *cursor) feed(ctx context.Context, from Peer) {
+	if c.source != from.Name {
+		c.host.log.Info("feed: followed", "topic", c.topic, "from", from.Name)
+		c.source = from.Name
+		c.proof = 0
 	}
-	return h.store.Read(f.topic, next, f.wait)
-}
-
-// failed logs the first of a row of failures, and returns where to read on.
-func (h *Host) failed(f follower, err error, next int64, connected *bool) int64 {
-	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.KindExpired {
-		h.log.Info("store: history dropped", "topic", f.topic, "offset", next)
-		return -1
+	sent := c.host.fresh.Now()
+	a, err := c.host.feeder.ask(ctx, from, feed.Ask{Topic: c.topic, Next: c.next, Proved: c.proof, Wait: feedWait})
+	if ctx.Err() != nil {
+		return
 	}
-	if *connected {
-		*connected = false
-		h.log.Warn("store: lost", "topic", f.topic, "cause", err.Error())
+	if err != nil {
+		c.host.log.Info("feed: left", "topic", c.topic, "from", from.Name, "cause", err.Error())
+		c.rest = time.Now().Add(feedRest)
+		c.hurry = true
+		return
 	}
-	f.lost()
-	return next
+	c.offset.Learn(a, sent)
+	c.proof = a.Proved
+	c.take(a.Page, a.Whole, c.offset.Own(a.Proved), false)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+// read reads the store.
+func (c *cursor) read(ctx context.Context) {
+	sent := c.host.fresh.Now()
+	var p feed.Page
+	var err error
+	switch {
+	case c.next < 0:
+		p, err = c.host.store.Newest(c.topic)
+	case c.hurry:
+		p, err = c.host.store.Read(c.topic, c.next, 0)
+	default:
+		p, err = c.host.store.Read(c.topic, c.next, c.wait)
 	}
-}
-
-func (h *Host) configFollower() follower {
-	return follower{topic: platform.TopicConfig, wait: configWait, apply: h.applyConfig, proved: h.fresh.Prove, lost: func() {}}
-}
-
-// applyConfig puts the newest configuration in force; versions only grow.
-func (h *Host) applyConfig(p platform.Page, _ bool) {
-	for _, c := range p.Changes {
-		if c.Key != platform.KeyConfig || len(c.Value) == 0 {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(c.Value)
-		if err != nil {
-			h.log.Error("config: unreadable", "offset", c.Offset, "cause", err.Error())
-			continue
-		}
-		old := h.table.Load()
-		if old != nil && cfg.Version <= old.Version {
-			continue
-		}
-		h.table.Store(ingress.NewTable(cfg))
-		h.log.Info("config: in force", "version", cfg.Version, "offset", c.Offset, "rules", len(cfg.Rules), "customers", len(cfg.Customers))
+	c.hurry = false
+	if err != nil {
+		c.failed(err)
+		pause(ctx, c.pause/2+rand.N(c.pause))
+		c.pause = min(2*c.pause, maxFailPause)
+		return
+	}
+	c.pause = failPause
+	if !c.connected {
+		c.connected = true
+		c.host.log.Info("store: regained", "topic", c.topic)
+	}
+	c.take(p, c.next < 0, sent, true)
+	if c.gather > 0 && len(p.Changes) > 0 {
+		pause(ctx, c.gather)
 	}
 }
 
-func (h *Host) replicaFollower() follower {
-	return follower{
-		topic: platform.TopicReplicas, wait: replicasWait, gather: gatherTime, apply: h.applyReplicas, lost: h.replicas.Away,
-		proved: func(time.Duration) { h.replicas.Back(time.Now()) },
+// take applies a page, and passes it on.
+func (c *cursor) take(p feed.Page, whole bool, proved time.Duration, direct bool) {
+	if whole || len(p.Changes) > 0 {
+		c.apply(p, whole)
+		c.host.feeder.log.Put(c.topic, p, whole)
 	}
+	c.proved(proved)
+	c.host.feeder.log.Prove(c.topic, proved, direct)
+	c.next = p.Next
 }
 
-func (h *Host) applyReplicas(p platform.Page, whole bool) {
-	now := time.Now()
-	var all []replica.Replica
-	for _, c := range p.Changes {
-		r, ok := h.decodeReplica(c)
-		switch {
-		case whole && ok:
-			all = append(all, r)
-		case whole:
-		case ok:
-			h.replicas.Put(r)
-		default:
-			h.replicas.Remove(c.Key, now)
-		}
+// failed logs the first of a row of failures, and finds where to read on.
+func (c *cursor) failed(err error) {
+	var e *platform.Error
+	if errors.As(err, &e) && e.Kind == platform.KindExpired {
+		c.host.log.Info("store: history dropped", "topic", c.topic, "offset", c.next)
+		c.next = -1
+		return
 	}
-	if whole {
-		h.replicas.Replace(all, now)
-		h.listed.Store(true)
+	if c.connected {
+		c.connected = false
+		c.host.log.Warn("store: lost", "topic", c.topic, "cause", err.Error())
 	}
+	c.host.feeder.log.Lose(c.topic)
+	c.lost()
 }
 
-// decodeReplica reads an entry of the list, and logs what it changes.
-func (h *Host) decodeReplica(c platform.Change) (r replica.Replica, ok bool) {
-	if len(c.Value) == 0 {
-		h.log.Info("replicas: gone", "replica", c.Key, "offset", c.Offset)
-		return r, false
-	}
-	r, err := platform.DecodeReplica(c.Key, c.Value)
-	if err != nil {
-		h.log.Warn("replicas: entry ignored", "replica", c.Key, "offset", c.Offset, "cause", err.Error())
-		return r, false
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
-	h.log.Info("replicas: listed", "replica", r.ID, "address", r.Address, "domain", r.FailureDomain, "draining", r.Draining,
-		"started", r.Started, "from", r.Layers.From, "to", r.Layers.To, "offset", c.Offset)
-	return r, true
 }
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -9,16 +9,20 @@
 
 	"github.com/samber/lo"
 
+	"bulrushshed/gossip"
 	"bulrushshed/platform"
 )
 
 const (
 	// groupName names the group of all entry hosts.
 	groupName = "bulrushshed-hosts"
-	// joinEvery is the time between two heartbeats to the store, and joinLife
-	// how long a host that sends none is taken for alive.
-	joinEvery = 900 * time.Millisecond
+	// joinEvery is the time between two heartbeats to the store of a host that
+	// feeds others, and joinLife how long one that sends none is taken for
+	// alive.
+	joinEvery = 450 * time.Millisecond
 	joinLife  = 2500 * time.Millisecond
+	// joinTurns is how many of those times a host that feeds no others passes.
+	joinTurns = 2
 	// leaseMargin is how much sooner a holder stops than others may begin.
 	leaseMargin = 700 * time.Millisecond
 	// assumedHosts is the number of hosts that share the work, and assumedNear
@@ -26,7 +30,7 @@
 	assumedHosts = 8
 	assumedNear  = 3
 	// memberFields is the number of fields of a member's name.
-	memberFields = 3
+	memberFields = 5
 )
 
 // groupTopics share out their partitions among the hosts; a host is a member
@@ -35,8 +39,13 @@
 
 // Peer is an entry host that takes requests.
 type Peer struct {
+	// Name is that of one start of the host.
+	Name          string
 	Address       string
 	FailureDomain string
+	// PeerAddress is where other hosts meet it, and Pin how they know it.
+	PeerAddress string
+	Pin         string
 }
 
 // group is this host's part in the group of entry hosts. The member of the
@@ -52,6 +61,12 @@
 	// seen is the generation that peers are of.
 	seen  int64
 	peers []Peer
+	// pins are those of all members, and feeder is the one that feeds this
+	// host; nil if it reads the store.
+	pins   map[string]bool
+	feeder *Peer
+	// turns counts heartbeats that were due.
+	turns int
 	// first is whether this host holds the first partition until a time, by
 	// the clock that counts suspension.
 	first bool
@@ -59,9 +74,10 @@
 	left  bool
 }
 
-func newGroup(h *Host) *group {
+func newGroup(h *Host, pin string) *group {
 	started := time.Now().Format("150405.000000")
-	return &group{host: h, member: strings.Join([]string{h.cfg.CallerAddress, h.cfg.FailureDomain, started}, "|")}
+	fields := []string{h.cfg.CallerAddress, h.cfg.FailureDomain, h.cfg.PeerAddress, pin, started}
+	return &group{host: h, member: strings.Join(fields, "|")}
 }
 
 // keep sends a heartbeat, and reads the members when they have changed. A host
@@ -70,12 +86,16 @@
 	if t, _ := g.host.Table(); t == nil || g.host.stopping.Load() {
 		return
 	}
+	if g.turns++; g.turns%joinTurns != 0 && !g.feeds() {
+		return
+	}
 	sent := bootTime()
 	m, err := g.host.store.Join(groupName, g.member, groupTopics, joinLife, g.generationNow())
 	if err != nil {
 		g.host.log.Debug("group: heartbeat failed", "cause", err.Error())
 		return
 	}
+	g.host.feeder.log.Reach(sent)
 	if !g.joined(m, sent) {
 		return
 	}
@@ -112,18 +132,55 @@
 	for _, name := range names {
 		fields := strings.Split(name, "|")
 		if len(fields) == memberFields {
-			peers = append(peers, Peer{Address: fields[0], FailureDomain: fields[1]})
+			peers = append(peers, Peer{Name: name, Address: fields[0], FailureDomain: fields[1], PeerAddress: fields[2], Pin: fields[3]})
 		}
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
-	peers = slices.Compact(peers)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.seen = generation
+	g.pins = lo.SliceToMap(peers, func(p Peer) (string, bool) { return p.Pin, true })
+	g.feeder = g.feederAmong(peers)
+	// A host that has started again may be there twice for a while.
+	peers = lo.UniqBy(peers, func(p Peer) string { return p.Address })
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	g.peers = peers
 	g.host.log.Info("group: members", "hosts", len(peers), "generation", generation)
 }
 
+// feederAmong returns the member that feeds this host, or nil.
+func (g *group) feederAmong(peers []Peer) *Peer {
+	all := lo.Map(peers, func(p Peer, _ int) gossip.Member { return gossip.Member{Name: p.Name, FailureDomain: p.FailureDomain} })
+	source := gossip.Source(gossip.Member{Name: g.member, FailureDomain: g.host.cfg.FailureDomain}, all, fedHosts)
+	if p, ok := lo.Find(peers, func(p Peer) bool { return p.Name == source }); ok {
+		return &p
+	}
+	return nil
+}
+
+// source returns the host that feeds this one; ok is false if this host is to read
+// the store itself.
+func (g *group) source() (p Peer, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.feeder == nil || g.left {
+		return Peer{}, false
+	}
+	return *g.feeder, true
+}
+
+// feeds reports whether this host may feed others.
+func (g *group) feeds() bool {
+	_, fed := g.source()
+	return !fed
+}
+
+// trusts reports whether a pin is that of a member.
+func (g *group) trusts(pin string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pins[pin]
+}
+
 // size is the number of hosts that share the work, this one included.
 func (g *group) size() int {
 	g.mu.Lock()
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -65,6 +65,7 @@
 	picker   *replica.Picker
 	planner  *pipeline.Planner
 	group    *group
+	feeder   *feeder
 	meter    *meter.Meter
 	callers  *ingresshttp.Server
 	control  *controller
@@ -108,6 +109,7 @@
 		return err
 	}
 	loops := []<-chan error{
+		h.feeder.node.Serve(work),
 		h.follow(work, h.configFollower()),
 		h.follow(work, h.replicaFollower()),
 		loop.Every(work, joinEvery, h.group.keep),
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -31,6 +31,7 @@
 
 type entryHost struct {
 	cfg  settings.Host
+	door *door
 	stop context.CancelFunc
 	done chan error
 }
@@ -88,11 +89,13 @@
 	ip := fmt.Sprintf("%s.%d", f.net, n+1)
 	cfg.CallerAddress, cfg.ReadyAddress = ip+":8080", ip+":8081"
 	cfg.DirectoryAddress, cfg.MetricsAddress = ip+":8082", ip+":8083"
-	cfg.StoreAddress = f.store.address()
+	cfg.PeerAddress = ip + ":8084"
+	way := f.store.newDoor(t)
+	cfg.StoreAddress = way.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(3 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &entryHost{cfg: cfg, stop: cancel, done: make(chan error, 1)}
+	h := &entryHost{cfg: cfg, door: way, stop: cancel, done: make(chan error, 1)}
 	go func() { h.done <- hosted.Run(ctx, hosted.Wire(cfg)) }()
 	t.Cleanup(func() {
 		cancel()
--- a/daemon/hosted/standin_test.go
+++ b/daemon/hosted/standin_test.go
@@ -33,6 +33,69 @@
 	down bool
 	// unreadable names a topic that can't be read; "" for none.
 	unreadable string
+	// waiting counts the reads that wait for news, by door.
+	waiting map[string]int
+}
+
+// door is the way of one host to the store.
+type door struct {
+	server *httptest.Server
+
+	mu sync.Mutex
+	// silent ways let calls through, but no answers.
+	silent bool
+}
+
+// newDoor opens one more way to the store.
+func (s *store) newDoor(t *testing.T) *door {
+	d := &door{}
+	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := httptest.NewRecorder()
+		s.server.Config.Handler.ServeHTTP(held, r)
+		d.mu.Lock()
+		silent := d.silent
+		d.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(held.Code)
+		_, _ = w.Write(held.Body.Bytes())
+	}))
+	t.Cleanup(d.server.Close)
+	return d
+}
+
+func (d *door) address() string { return strings.TrimPrefix(d.server.URL, "http://") }
+
+func (d *door) silence(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = silent
+}
+
+// waitingReads returns how many reads wait for news, over all doors.
+func (s *store) waitingReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, reads := range s.waiting {
+		n += reads
+	}
+	return n
+}
+
+// waitingAt returns how many reads wait for news at one of the store's addresses.
+func (s *store) waitingAt(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting[address]
+}
+
+func (s *store) await(address string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[address] += n
 }
 
 type record struct{ key, value string }
@@ -44,7 +107,7 @@
 }
 
 func newStore(t *testing.T) *store {
-	s := &store{topics: map[string][]record{}, news: make(chan struct{})}
+	s := &store{topics: map[string][]record{}, news: make(chan struct{}), waiting: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/log-newest", s.newest)
 	mux.HandleFunc("GET /api/log-read", s.read)
@@ -65,8 +128,6 @@
 	return s
 }
 
-func (s *store) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
-
 // put writes the newest record of a key.
 func (s *store) put(topic, key string, value any) {
 	text, err := json.Marshal(value)
@@ -119,6 +180,8 @@
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	s.await(r.Host, 1)
+	defer s.await(r.Host, -1)
 	for {
 		s.mu.Lock()
 		all := s.topics[q.Get("topic")]
@@ -133,6 +196,8 @@
 		case <-end:
 			writeRecords(w, nil)
 			return
+		case <-r.Context().Done():
+			return
 		}
 	}
 }
@@ -238,6 +303,19 @@
 	})
 }
 
+// leave lists the replica as draining.
+func (r *replicaStandIn) leave(service string) {
+	r.state = "draining"
+	r.list(service, 0, 0)
+}
+
+// calls returns how many calls of the plain service it got.
+func (r *replicaStandIn) calls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.keys)
+}
+
 func (r *replicaStandIn) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.Header.Get("X-Bulrushshed-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 	"bulrushshed/forward"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
+	"bulrushshed/keys"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
 	"bulrushshed/platform"
@@ -38,7 +40,14 @@
 		picker:   replica.NewPicker(cfg.FailureDomain),
 		meter:    meter.New(maxCustomers, maxClasses),
 	}
-	h.group = newGroup(h)
+	own, err := newPinned(cfg.Name, h)
+	if err != nil {
+		return nil, err
+	}
+	h.group = newGroup(h, own.pin)
+	if h.feeder, err = newFeeder(h, own); err != nil {
+		return nil, err
+	}
 	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, Near: h.group.near})
 	h.control = newController(h)
 	h.callers = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
@@ -55,6 +64,17 @@
 	return h, nil
 }
 
+// pinned is what this host shows to others.
+type pinned struct {
+	tls *tls.Config
+	pin string
+}
+
+func newPinned(name string, h *Host) (p pinned, err error) {
+	p.tls, p.pin, err = keys.Pinned(name, time.Now(), func(pin string) bool { return h.group.trusts(pin) })
+	return p, err
+}
+
 // budgetShare is the part of the budget for repeats that is used; the rest is
 // for hosts whose views of the group differ.
 const budgetShare = 0.8
--- /dev/null
+++ b/feed/log_test.go
@@ -0,0 +1,278 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bulrushshed/feed"
+)
+
+const topic = "list"
+
+// clock returns one that begins ahead of zero.
+func clock(ahead time.Duration) func() time.Duration {
+	began := time.Now()
+	return func() time.Duration { return ahead + time.Since(began) }
+}
+
+func change(offset int64, key, value string) feed.Change {
+	return feed.Change{Offset: offset, Key: key, Value: []byte(value)}
+}
+
+// reading returns a log that has read up to offset 8; the key c has ended.
+func reading(now func() time.Duration) *feed.Log {
+	l := feed.NewLog("entry-1", now)
+	l.Put(topic, feed.Page{Changes: []feed.Change{change(2, "a", "1"), change(4, "b", "1"), change(5, "c", "1")}, Next: 6}, true)
+	l.Put(topic, feed.Page{Changes: []feed.Change{change(6, "a", "2"), change(7, "c", "")}, Next: 8}, false)
+	l.Prove(topic, now(), true)
+	return l
+}
+
+func TestAnswersBeginWhereTheAskerIs(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		next  int64
+		whole bool
+		want  []feed.Change
+	}{
+		{-1, true, []feed.Change{change(4, "b", "1"), change(6, "a", "2")}},
+		{3, true, []feed.Change{change(4, "b", "1"), change(6, "a", "2")}},
+		{6, false, []feed.Change{change(6, "a", "2"), change(7, "c", "")}},
+		{7, false, []feed.Change{change(7, "c", "")}},
+		{8, false, nil},
+	} {
+		is := is.New(t)
+		l := reading(clock(time.Hour))
+		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: c.next})
+		is.True(a.Usable(c.next))
+		is.Equal(a.Whole, c.whole)
+		is.Equal(len(a.Page.Changes), len(c.want))
+		for i, want := range c.want {
+			is.Equal(a.Page.Changes[i], want)
+		}
+		is.Equal(a.Page.Next, int64(8))
+	}
+}
+
+// A late word of an old proof takes nothing back.
+func TestProofsOnlyGrow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := reading(clock(time.Hour))
+	l.Prove(topic, 2*time.Hour, true)
+	l.Prove(topic, time.Hour, true)
+	is.Equal(l.Answer(t.Context(), feed.Ask{Topic: topic, Next: -1}).Proved, 2*time.Hour)
+}
+
+// What another host proved does not show that this one reaches the store.
+func TestOnlyTheStoreShowsThatItIsReached(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		now := clock(time.Hour)
+		l := reading(now)
+		old := now()
+		time.Sleep(2 * feed.ReachTerm)
+		l.Prove(topic, now(), false)
+		l.Prove(topic, old, true)
+		if l.Answer(t.Context(), feed.Ask{Topic: topic, Next: -1}).Usable(-1) {
+			t.Error("got a usable answer of a host that does not reach the store")
+		}
+	})
+}
+
+// An asker that knows all waits for news, for a newer proof, or for its time.
+func TestAnswersWaitForNews(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		do   func(l *feed.Log, now func() time.Duration)
+		took time.Duration
+	}{
+		{"nothing", func(*feed.Log, func() time.Duration) {}, 600 * time.Millisecond},
+		{"change", func(l *feed.Log, _ func() time.Duration) {
+			l.Put(topic, feed.Page{Changes: []feed.Change{change(8, "c", "1")}, Next: 9}, false)
+		}, 100 * time.Millisecond},
+		{"proof", func(l *feed.Log, now func() time.Duration) { l.Prove(topic, now(), true) }, 100 * time.Millisecond},
+		{"loss", func(l *feed.Log, _ func() time.Duration) { l.Lose(topic) }, 100 * time.Millisecond},
+		{"reached", func(l *feed.Log, now func() time.Duration) { l.Reach(now()) }, 600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				now := clock(time.Hour)
+				l := reading(now)
+				proved := now()
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					c.do(l, now)
+				}()
+				began := time.Now()
+				a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Proved: proved, Wait: 600 * time.Millisecond})
+				is.Equal(time.Since(began), c.took)
+				is.Equal(a.Usable(8), c.name != "loss")
+			})
+		})
+	}
+}
+
+// A host that does not reach the store any more tells so as soon as its answers are
+// of no use, and not when the asker's time is over.
+func TestAHostThatIsCutOffSaysSo(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := clock(time.Hour)
+		l := reading(now)
+		proved := now()
+		time.Sleep(700 * time.Millisecond)
+		began := time.Now()
+		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Proved: proved, Wait: 600 * time.Millisecond})
+		is.Equal(time.Since(began), feed.ReachTerm-700*time.Millisecond)
+		is.True(!a.Usable(8))
+	})
+}
+
+func TestWhatIsOfNoUse(t *testing.T) {
+	t.Parallel()
+	now := clock(time.Hour)
+	unknown := feed.NewLog("entry-1", now)
+	indirect := reading(now)
+	indirect.Prove(topic, now(), false)
+	for name, l := range map[string]*feed.Log{"unknown topic": unknown, "read at another host": indirect} {
+		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: -1, Wait: time.Hour})
+		if a.Usable(-1) {
+			t.Errorf("%s: got a usable answer", name)
+		}
+	}
+	// A host behind the asker knows less, whatever it has proved.
+	if reading(now).Answer(t.Context(), feed.Ask{Topic: topic, Next: 9}).Usable(9) {
+		t.Error("got a usable answer from a host that is behind")
+	}
+}
+
+// An asker that left is not answered later.
+func TestAnswersEndWithTheirContext(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		now := clock(0)
+		l := reading(now)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		l.Answer(ctx, feed.Ask{Topic: topic, Next: 8, Proved: now(), Wait: time.Second})
+		if got := time.Since(began); got != 10*time.Millisecond {
+			t.Errorf("got an end after %v, want 10 ms", got)
+		}
+	})
+}
+
+// Whoever asks again and again from where it is holds what the log holds, though
+// the log forgets old changes.
+func TestAskersHoldWhatTheLogHolds(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock(0)
+		l := feed.NewLog("entry-1", now)
+		l.Put(topic, feed.Page{}, true)
+		l.Prove(topic, now(), true)
+		want, got := map[string]string{}, map[string]string{}
+		next, asked := int64(0), int64(-1)
+		big := string(make([]byte, 200<<10))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			n := rapid.IntRange(0, 3).Draw(t, "changes")
+			p := feed.Page{Next: next + int64(n)}
+			for i := range n {
+				c := change(next+int64(i), fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")), "")
+				if rapid.Bool().Draw(t, "value") {
+					c.Value = []byte(fmt.Sprint(c.Offset) + big)
+				}
+				p.Changes = append(p.Changes, c)
+				apply(want, c)
+			}
+			next = p.Next
+			if n > 0 && rapid.Bool().Draw(t, "history dropped") {
+				l.Put(topic, newest(want, next), true)
+			} else {
+				l.Put(topic, p, false)
+			}
+			if rapid.Bool().Draw(t, "ask") {
+				asked = follow(l, got, asked)
+			}
+		}
+		follow(l, got, asked)
+		if len(got) != len(want) {
+			t.Fatalf("got %d keys, want %d", len(got), len(want))
+		}
+		for key, value := range want {
+			if got[key] != value {
+				t.Fatalf("got another value of %s", key)
+			}
+		}
+	})
+}
+
+// newest returns the page of a store that has dropped its history.
+func newest(state map[string]string, next int64) feed.Page {
+	p := feed.Page{Next: next}
+	for key, value := range state {
+		p.Changes = append(p.Changes, change(next-1, key, value))
+	}
+	return p
+}
+
+func apply(state map[string]string, c feed.Change) {
+	state[c.Key] = string(c.Value)
+	if len(c.Value) == 0 {
+		delete(state, c.Key)
+	}
+}
+
+func follow(l *feed.Log, state map[string]string, next int64) int64 {
+	a := l.Answer(context.Background(), feed.Ask{Topic: topic, Next: next})
+	if a.Whole {
+		clear(state)
+	}
+	for _, c := range a.Page.Changes {
+		apply(state, c)
+	}
+	return a.Page.Next
+}
+
+// A proof that came over other hosts' clocks is never taken for newer than it is,
+// however long answers wait and travel.
+func TestProofsAreNeverTakenForNewer(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		ahead := time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "ahead"))
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		delay := func() time.Duration { return time.Duration(r.Int64N(int64(time.Second))) }
+		var o feed.Offset
+		now, least := time.Duration(0), time.Hour
+		for i := range 20 {
+			sent := now
+			proved := sent - delay() + delay()/2
+			answered := max(sent, proved) + delay()
+			least = min(least, answered-sent)
+			a := feed.Answer{Host: "entry-1", Now: answered + ahead, Proved: proved + ahead}
+			o.Learn(a, sent)
+			now = answered + delay()
+			got := o.Own(a.Proved)
+			if got > proved || got < proved-least {
+				t.Fatalf("answer %d: got a proof of %v, want one of at most %v and at least %v", i, got, proved, proved-least)
+			}
+		}
+		// Another incarnation's clock begins anew.
+		o.Learn(feed.Answer{Host: "entry-1 again", Now: 5 + ahead/2}, now)
+		if got := o.Own(5 + ahead/2); got != now {
+			t.Fatalf("got %v, want %v", got, now)
+		}
+	})
+}
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -32,15 +32,34 @@
 	if AllRead(len(all)) {
 		return true
 	}
+	own := ranked(self.FailureDomain, all)
+	n := slices.Index(own, self.Name)
+	return n < 0 || n < readersPerDomain
+}
+
+// ranked returns the names of a failure domain's hosts, those that read first.
+func ranked(domain string, all []Member) []string {
 	var own []string
 	for _, m := range all {
-		if m.FailureDomain == self.FailureDomain {
+		if m.FailureDomain == domain {
 			own = append(own, m.Name)
 		}
 	}
 	slices.SortFunc(own, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return own
+}
+
+// Source returns the host of the same failure domain from which a host gets what
+// the platform has, if each one that reads serves up to fed others; "" if the host
+// is to read by itself. The others are spread over those that read.
+func Source(self Member, all []Member, fed int) string {
+	own := ranked(self.FailureDomain, all)
 	n := slices.Index(own, self.Name)
-	return n < 0 || n < readersPerDomain
+	readers := (len(own) + fed) / (fed + 1)
+	if n < readers {
+		return ""
+	}
+	return own[n%readers]
 }
 
 func rank(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -136,3 +136,41 @@
 	is.Equal(readers(9, 3), 9)
 	is.Equal(readers(400, 10), 20)
 }
+
+// Those that read are few, read by themselves, and serve about as many others each.
+func TestWhoIsFedByWhom(t *testing.T) {
+	t.Parallel()
+	const fed, spread = 15, 4
+	for _, c := range []struct{ hosts, domains, readers int }{{1, 1, 1}, {9, 3, 3}, {7, 3, 3}, {71, 3, 6}, {400, 4, 28}} {
+		is := is.New(t)
+		var all []gossip.Member
+		for i := range c.hosts {
+			all = append(all, gossip.Member{Name: fmt.Sprint("entry-", i), FailureDomain: fmt.Sprint(i % c.domains)})
+		}
+		domain := map[string]string{}
+		for _, m := range all {
+			domain[m.Name] = m.FailureDomain
+		}
+		serves := map[string]int{}
+		readers := 0
+		for _, m := range all {
+			from := gossip.Source(m, all, fed)
+			if from == "" {
+				readers++
+				continue
+			}
+			serves[from]++
+			is.Equal(domain[from], m.FailureDomain)
+			is.Equal(gossip.Source(gossip.Member{Name: from, FailureDomain: m.FailureDomain}, all, fed), "")
+		}
+		is.Equal(readers, c.readers)
+		least, most := c.hosts, 0
+		for _, n := range serves {
+			least, most = min(least, n), max(most, n)
+		}
+		is.True(most <= fed)
+		is.True(most-least <= spread || len(serves) == 0)
+	}
+	// A host that the others do not know yet reads by itself.
+	is.New(t).Equal(gossip.Source(gossip.Member{Name: "new", FailureDomain: "0"}, []gossip.Member{{Name: "old", FailureDomain: "0"}}, fed), "")
+}
--- /dev/null
+++ b/keys/pin.go
@@ -0,0 +1,50 @@
+package keys
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Pinned returns the TLS configuration of a host that has no CA: it shows a
+// certificate of its own making, and lets in whose pin is trusted. The pin, by which
+// others know the host, is a digest of its certificate.
+func Pinned(name string, now time.Time, trusted func(pin string) bool) (cfg *tls.Config, pin string, err error) {
+	t := template(name, now, hostLife)
+	t.DNSNames = []string{name}
+	own, err := sign(t, nil, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	pair, err := tls.X509KeyPair(own.Cert, own.Key)
+	if err != nil {
+		return nil, "", &Error{Op: "read certificate", Kind: KindUnreadable, Cause: err}
+	}
+	cfg = &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The pin is checked in place of a chain.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			if len(s.PeerCertificates) == 0 {
+				return &Error{Op: "verify", Kind: KindStranger, Cause: fmt.Errorf("got no certificate")}
+			}
+			if got := pinOf(s.PeerCertificates[0].Raw); !trusted(got) {
+				return &Error{Op: "verify", Kind: KindStranger, Cause: fmt.Errorf("got the pin %s, which is not trusted", got)}
+			}
+			return nil
+		},
+		MinVersion: tls.VersionTLS13,
+	}
+	return cfg, pinOf(pair.Leaf.Raw), nil
+}
+
+// pinBytes is the length of the part of a digest that is used.
+const pinBytes = 16
+
+func pinOf(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:pinBytes])
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"bulrushshed/delivery"
 	"bulrushshed/directory"
+	"bulrushshed/feed"
 	"bulrushshed/gossip"
 	"bulrushshed/hostlog"
 	"bulrushshed/outcome"
@@ -20,6 +21,7 @@
 	KindJoin     Kind = "join"
 	KindRules    Kind = "rules"
 	KindDemand   Kind = "demand"
+	KindFeed     Kind = "feed"
 )
 
 // Message is one request; only the field of its kind is set.
@@ -28,6 +30,7 @@
 	Forward  *Forward         `cbor:"forward,omitempty"`
 	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
 	Demand   *Demand          `cbor:"demand,omitempty"`
+	Feed     *feed.Ask        `cbor:"feed,omitempty"`
 	// Have is the version that a host asking for newer rules has.
 	Have rule.Version `cbor:"have,omitempty"`
 }
@@ -72,4 +75,5 @@
 	// Shares are parts of customers' limits and of pools, from 0 to 1.
 	Shares   map[string]float64 `cbor:"shares,omitempty"`
 	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
+	Feed     *feed.Answer       `cbor:"feed,omitempty"`
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -55,11 +55,14 @@
 	Timeout time.Duration
 	// MaxBytes bounds one message.
 	MaxBytes int64
+	// Idle is how long a connection over which nothing comes is kept; 0 for
+	// a minute and a half.
+	Idle time.Duration
 }
 
 const (
 	protocol    = "bulrushshed/1"
-	idleTimeout = 90 * time.Second
+	defaultIdle = 90 * time.Second
 	maxStreams  = 4096
 	// keepAlive finds out that a peer's host has gone.
 	keepAlive = 5 * time.Second
@@ -90,8 +93,11 @@
 }
 
 // NewNode opens the node's socket. The TLS configuration decides which peers
-// are let in.
+// are let in: by its CAs, by VerifyConnection, or by both.
 func NewNode(o Options, cfg *tls.Config, h Handler, log *slog.Logger) (*Node, error) {
+	if cfg.ClientCAs == nil && cfg.VerifyConnection == nil {
+		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: eris.New("peers would not be verified")}
+	}
 	addr, err := net.ResolveUDPAddr("udp", o.Address)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
@@ -106,7 +112,7 @@
 		opts: o, tls: cfg, handler: h, log: log, conns: map[string]*dialing{},
 		transport: &quic.Transport{Conn: socket},
 	}
-	n.listener, err = n.transport.Listen(n.reporting(), quicConfig())
+	n.listener, err = n.transport.Listen(n.reporting(), n.quicConfig())
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
 	}
@@ -137,9 +143,13 @@
 	return cfg
 }
 
-func quicConfig() *quic.Config {
+func (n *Node) quicConfig() *quic.Config {
+	idle := defaultIdle
+	if n.opts.Idle > 0 {
+		idle = n.opts.Idle
+	}
 	return &quic.Config{
-		MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
+		MaxIdleTimeout: idle, KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
 		InitialStreamReceiveWindow: 32 << 10, InitialConnectionReceiveWindow: 64 << 10,
 	}
 }
@@ -296,5 +306,5 @@
 	}
 	cfg := n.tls.Clone()
 	cfg.ServerName = addr.IP.String()
-	d.conn, d.err = n.transport.Dial(ctx, addr, cfg, quicConfig())
+	d.conn, d.err = n.transport.Dial(ctx, addr, cfg, n.quicConfig())
 }
--- a/peer/verify.go
+++ b/peer/verify.go
@@ -8,11 +8,14 @@
 )
 
 // verifyChain checks that the other end's certificate was signed by the CA of
-// a configuration.
+// a configuration, if it has one.
 func verifyChain(s tls.ConnectionState, cfg *tls.Config) error {
 	if len(s.PeerCertificates) == 0 {
 		return eris.New("got no certificate")
 	}
+	if cfg.ClientCAs == nil {
+		return nil
+	}
 	intermediates := x509.NewCertPool()
 	for _, c := range s.PeerCertificates[1:] {
 		intermediates.AddCert(c)
--- a/settings/host.go
+++ b/settings/host.go
@@ -15,11 +15,13 @@
 	FailureDomain string `json:"failure_domain"`
 	// All addresses are IP:port pairs: where callers connect, where the
 	// platform asks whether the host is ready, where callers ask for
-	// addresses, where metrics are read, and where the store is.
+	// addresses, where metrics are read, where other hosts are met over QUIC,
+	// and where the store is.
 	CallerAddress    string `json:"caller_address"`
 	ReadyAddress     string `json:"ready_address"`
 	DirectoryAddress string `json:"directory_address"`
 	MetricsAddress   string `json:"metrics_address"`
+	PeerAddress      string `json:"peer_address"`
 	StoreAddress     string `json:"store_address"`
 	// MemoryMB bounds the process.
 	MemoryMB int `json:"memory_mb"`
@@ -77,6 +79,7 @@
 	c.address("ready_address", h.ReadyAddress)
 	c.address("directory_address", h.DirectoryAddress)
 	c.address("metrics_address", h.MetricsAddress)
+	c.address("peer_address", h.PeerAddress)
 	c.address("store_address", h.StoreAddress)
 	c.number("memory_mb", h.MemoryMB, maxCount)
 	c.duration("revoke", h.Revoke)
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -12,7 +12,7 @@
 )
 
 const hostText = `{
-  "caller_address": "10.1.0.40:8227", "ready_address": "10.1.0.40:8220", "directory_address": "10.1.0.40:8224",
+  "caller_address": "10.1.0.40:8227", "ready_address": "10.1.0.40:8220", "directory_address": "10.1.0.40:8224", "peer_address": "10.1.0.40:7340",
   "metrics_address": "10.1.0.40:9464", "store_address": "10.200.1.7:8223", "memory_mb": 284, "revoke": "5000ms",
   "retry_ratio": 0.2, "retry_extra": 202, "failure_domain": "a", "name": "entry-1"
 }`
