Repair beside engines that are too small, and without waiting anew

The wait was also one for all models: a whole one cleared that of another.

A holder that has just begun counts from the last loss that it saw in the list (control.Patience), per service; free engines that Cover gives nothing do not stop the repair.

Ruled out: that every host keeps the clock of missing layers, since Repair over all engines four times a second costs a weak host some 2 % of its processor.

Tests: TestRepairsWait; TestATooSmallEngineStopsNoRepair failed before (no repair within 30 s).

--- /dev/null
+++ b/control/patience_test.go
@@ -0,0 +1,57 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"bulrushshed/control"
+)
+
+// A repair waits for an engine that may come back, but a new holder does not wait
+// anew.
+func TestRepairsWait(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	var never time.Time
+	for _, c := range []struct {
+		name string
+		// takes is when the host begins to control, missing when layers are
+		// missing, and lost when the host saw an engine leave.
+		takes, missing float64
+		lost           time.Time
+		want           float64
+	}{
+		{"holder sees it", 0, 10, at(10), 14},
+		{"holder sees an engine that is suspected", 0, 10, at(3), 14},
+		{"new holder", 12, 10, at(10), 14},
+		{"new holder, late", 20, 10, at(10), 20},
+		{"new holder that has seen nothing", 12, 10, never, 16},
+		{"missing behind a change of the holder", 12, 14, at(3), 18},
+	} {
+		var p control.Patience
+		got := -1.0
+		for s := c.takes; s < 40 && got < 0; s += 0.25 {
+			if p.Due(s >= c.missing, c.lost, at(s)) {
+				got = s
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: got a repair at %v s, want %v s", c.name, got, c.want)
+		}
+	}
+}
+
+// Layers that come back in time start the wait anew.
+func TestRepairsOfWhatComesBackDoNotAddUp(t *testing.T) {
+	t.Parallel()
+	var p control.Patience
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	p.Due(false, time.Time{}, now)
+	for i := range 10 {
+		now = now.Add(control.RepairPatience * 2 / 3)
+		if p.Due(i%2 == 0, time.Time{}, now) {
+			t.Fatalf("got a repair at step %d", i)
+		}
+	}
+}
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -24,9 +24,6 @@
 	// settleTime is how long a fleet that serves nothing must not have grown
 	// before its engines are placed.
 	settleTime = 700 * time.Millisecond
-	// repairPatience is how long layers must be missing before an engine is
-	// moved there: most engines that crash are back sooner than that takes.
-	repairPatience = 4 * time.Second
 	// orderLife is how long an order that no list shows counts as under way.
 	orderLife = 8 * time.Second
 )
@@ -38,10 +35,8 @@
 	// given are the orders that the list does not show yet, by the engine's
 	// ID and start.
 	given map[string]given
-	// arrivals tells when the fleet of each service has stopped growing.
-	arrivals map[string]*arrivals
-	// holed is since when layers are missing in some failure domain.
-	holed time.Time
+	// fleets are the engines of each service, since this host holds the lease.
+	fleets map[string]*fleet
 	// fenced is the fencing number that an engine refused; no order goes out
 	// under it any more.
 	fenced int64
@@ -53,28 +48,35 @@
 }
 
 func newController(h *Host) *controller {
-	return &controller{host: h, given: map[string]given{}, arrivals: map[string]*arrivals{}}
+	return &controller{host: h, given: map[string]given{}, fleets: map[string]*fleet{}}
 }
 
-// arrivals is when a service's engines were last seen to become more.
-type arrivals struct {
-	most int
-	at   time.Time
+// fleet is what the holder of the lease has seen of a service's engines.
+type fleet struct {
+	// most is the greatest number of them, and grown when it was reached.
+	most  int
+	grown time.Time
+	// patience is for layers that are missing in some failure domain.
+	patience control.Patience
 }
 
-// settled reports whether a fleet that serves nothing yet has stopped growing.
-// Engines that are placed one by one, as they come, take too many layers each.
-func (c *controller) settled(service string, engines int, now time.Time) bool {
-	a, ok := c.arrivals[service]
+func (c *controller) fleet(service string, now time.Time) *fleet {
+	f, ok := c.fleets[service]
 	if !ok {
-		a = &arrivals{at: now}
-		c.arrivals[service] = a
+		f = &fleet{grown: now}
+		c.fleets[service] = f
 	}
-	if engines > a.most {
-		a.most = engines
-		a.at = now
+	return f
+}
+
+// settled reports whether a fleet that serves nothing yet has stopped growing.
+// Engines that are placed one by one, as they come, take too many layers each.
+func (f *fleet) settled(engines int, now time.Time) bool {
+	if engines > f.most {
+		f.most = engines
+		f.grown = now
 	}
-	return now.Sub(a.at) >= settleTime
+	return now.Sub(f.grown) >= settleTime
 }
 
 func engineKey(r replica.Replica) string { return fmt.Sprintf("%s/%d", r.ID, r.Started) }
@@ -84,6 +86,7 @@
 	t := c.host.table.Load()
 	fence, ok := c.host.group.holds()
 	if t == nil || !ok || fence <= c.fenced {
+		clear(c.fleets)
 		return
 	}
 	v := c.host.replicas.View()
@@ -112,25 +115,26 @@
 		sites = append(sites, site)
 		byID[r.ID] = r
 	}
-	if !c.settled(s.Name, len(sites), now) && !control.Whole(s.Model, sites) {
+	f := c.fleet(s.Name, now)
+	if !f.settled(len(sites), now) && !control.Whole(s.Model, sites) {
 		return
 	}
 	if free > 0 {
-		c.order(ctx, control.Cover(s.Model, sites), byID, fence)
-		return
+		// Engines that are too small for a layer stay free.
+		if holds := control.Cover(s.Model, sites); len(holds) > 0 {
+			c.order(ctx, holds, byID, fence)
+			return
+		}
 	}
 	hold, ok := control.Repair(s.Model, sites, func(id string) bool {
 		_, pending := c.given[engineKey(byID[id])]
 		return !pending
 	})
+	due := f.patience.Due(ok, v.Lost(s.Name), now)
 	if !ok {
-		c.holed = time.Time{}
 		return
 	}
-	if c.holed.IsZero() {
-		c.holed = now
-	}
-	if now.Sub(c.holed) >= repairPatience || control.Planned(s.Model, sites, drainingSites(s.Model, v.Draining(s.Name))) {
+	if due || control.Planned(s.Model, sites, drainingSites(s.Model, v.Draining(s.Name))) {
 		c.repair(ctx, byID[hold.ID], hold.Layers, fence)
 	}
 }
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -50,7 +50,11 @@
 			map[string]any{"name": "plain"},
 			map[string]any{"name": "model", "engine": map[string]any{
 				"kv_token_bytes": 1000, "step_ms": 1, "layers": 8, "layer_mb": 100,
-				"kinds": []any{map[string]any{"name": "k", "size_mb": 1000, "pace": 1, "read_factor": 1}},
+				"kinds": []any{
+					map[string]any{"name": "k", "size_mb": 1000, "pace": 1, "read_factor": 1},
+					map[string]any{"name": "half", "size_mb": 460, "pace": 1, "read_factor": 1},
+					map[string]any{"name": "tiny", "size_mb": 50, "pace": 1, "read_factor": 1},
+				},
 			}},
 		},
 		"tenants": []any{map[string]any{"name": "ana", "api_keys": keys}},
@@ -58,12 +62,20 @@
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	return newFleetOf(t, hosts, "k", "k")
+}
+
+// newFleetOf returns a fleet with engines of some kinds.
+func newFleetOf(t *testing.T, hosts int, kinds ...string) *fleet {
 	t.Helper()
 	s := newStore(t)
 	s.put("keyed.op", "config", configuration(1, "k1"))
 	f := &fleet{store: s, net: newNet()}
+	for i, kind := range kinds {
+		f.engines = append(f.engines, newReplica(t, s, fmt.Sprintf("e%d", i), "model", kind))
+	}
 	for i := range 2 {
-		f.engines = append(f.engines, newReplica(t, s, fmt.Sprintf("e%d", i), "model", "k"))
 		f.plain = append(f.plain, newReplica(t, s, fmt.Sprintf("p%d", i), "plain", ""))
 	}
 	for i := range hosts {
@@ -289,3 +301,36 @@
 	f.store.setDown(false)
 	await(t, "stock again", func() bool { status, _ := h.ask(t, "GET", "/stock/1", "k1"); return status == 200 })
 }
+
+// An engine that is too small for a layer does not stop the repair of what others
+// held.
+func TestATooSmallEngineStopsNoRepair(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleetOf(t, 1, "half", "half", "half", "tiny")
+	half := f.engines[:3]
+	await(t, "layers on the engines", func() bool {
+		return !slices.ContainsFunc(half, func(e *replicaStandIn) bool { return len(e.ordered()) != 1 })
+	})
+	is.Equal(len(f.engines[3].ordered()), 0)
+	lone := slices.IndexFunc(half, func(e *replicaStandIn) bool {
+		held := e.ordered()[0]
+		return !slices.ContainsFunc(half, func(o *replicaStandIn) bool { return o != e && layersOf(o.ordered()[0]) == layersOf(held) })
+	})
+	is.True(lone >= 0) // two halves of the layers on three engines
+	lost := half[lone]
+	f.store.put("keyed.servers", lost.id, nil)
+	await(t, "repair", func() bool {
+		return slices.ContainsFunc(half, func(e *replicaStandIn) bool {
+			return e != lost && layersOf(e.ordered()[len(e.ordered())-1]) == layersOf(lost.ordered()[0])
+		})
+	})
+}
+
+// layersOf returns the layers that an order names.
+func layersOf(order string) [2]int {
+	var in struct{ From, Target int }
+	// What can't be read names no layers.
+	_ = json.Unmarshal([]byte(order), &in)
+	return [2]int{in.From, in.Target}
+}
--- a/daemon/hosted/standin_test.go
+++ b/daemon/hosted/standin_test.go
@@ -128,11 +128,14 @@
 	return s
 }
 
-// put writes the newest record of a key.
+// put writes the newest record of a key; nil ends it.
 func (s *store) put(topic, key string, value any) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
+	var text []byte
+	if value != nil {
+		var err error
+		if text, err = json.Marshal(value); err != nil {
+			panic(err)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/replica/list.go
+++ b/replica/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	// leaving are those that drain, by service.
 	leaving   map[string][]Replica
 	byAddress map[string]Replica
+	lost      map[string]time.Time
 	// Revision grows with each view.
 	Revision int64
 }
@@ -45,6 +47,10 @@
 // Draining returns the replicas of a service that drain.
 func (v *View) Draining(service string) []Replica { return v.leaving[service] }
 
+// Lost returns when a replica of a service was last taken from the list; zero if none
+// was.
+func (v *View) Lost(service string) time.Time { return v.lost[service] }
+
 // At returns the replica at an address.
 func (v *View) At(address string) (Replica, bool) {
 	r, ok := v.byAddress[address]
@@ -65,13 +71,15 @@
 	outageEnd time.Time
 	// away is set during an outage.
 	away bool
+	// lost is when a replica of each service was last taken from the list.
+	lost map[string]time.Time
 
 	view atomic.Pointer[View]
 }
 
 // NewList returns an empty list.
 func NewList(lapse time.Duration) *List {
-	l := &List{lapse: lapse, entries: map[string]Replica{}, lapsed: map[string]time.Time{}}
+	l := &List{lapse: lapse, entries: map[string]Replica{}, lapsed: map[string]time.Time{}, lost: map[string]time.Time{}}
 	l.view.Store(&View{})
 	return l
 }
@@ -122,6 +130,14 @@
 		}
 		return
 	}
+	l.drop(id, now)
+}
+
+// drop takes an entry from the list.
+func (l *List) drop(id string, now time.Time) {
+	if r, known := l.entries[id]; known {
+		l.lost[r.Service] = now
+	}
 	delete(l.entries, id)
 	delete(l.lapsed, id)
 }
@@ -160,8 +176,7 @@
 	changed := false
 	for id, until := range l.lapsed {
 		if !now.Before(until) {
-			delete(l.entries, id)
-			delete(l.lapsed, id)
+			l.drop(id, now)
 			changed = true
 		}
 	}
@@ -180,7 +195,7 @@
 // publish makes the next view; the lock is held.
 func (l *List) publish() {
 	v := &View{
-		byService: map[string][]Replica{}, leaving: map[string][]Replica{}, byAddress: map[string]Replica{},
+		byService: map[string][]Replica{}, leaving: map[string][]Replica{}, byAddress: map[string]Replica{}, lost: maps.Clone(l.lost),
 		Revision: l.view.Load().Revision + 1,
 	}
 	for _, r := range l.entries {
--- a/replica/list_test.go
+++ b/replica/list_test.go
@@ -48,6 +48,28 @@
 	is.Equal(ids(l), []string{"i3"})
 }
 
+// A view tells when a replica of a service was last lost; those that never were
+// listed, or are trusted in an outage, are not.
+func TestAViewTellsTheLastLoss(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := replica.NewList(lapse)
+	l.Put(entry("i1", "x:1", 1))
+	l.Put(entry("i2", "x:2", 1))
+	l.Remove("i9", now)
+	is.True(l.View().Lost("s").IsZero())
+	l.Remove("i1", now)
+	is.Equal(l.View().Lost("s"), now)
+	is.True(l.View().Lost("other").IsZero())
+	l.Away()
+	l.Remove("i2", now.Add(time.Second))
+	is.Equal(l.View().Lost("s"), now)
+	l.Back(now.Add(2 * time.Second))
+	l.Expire(now.Add(2*time.Second + lapse))
+	is.Equal(l.View().Lost("s"), now.Add(2*time.Second+lapse))
+}
+
 // Entries that lapse while the store is away are trusted for a while behind its
 // return; those that are back by then stay.
 func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
