Move streams off four engines that go at once, and ask talking engines seldom

Now it is the host's own only if hardly any engine that was asked lately has answered.

Questions because of one slow stream, to engines that others get through, are answered from what is known for 2 s in place of 0.6 s. It stays, as it costs nothing; the number of questions is open.

Test: TestManyEnginesThatGoAtOnce, seen to fail before.

--- a/forward/checker.go
+++ b/forward/checker.go
@@ -13,14 +13,18 @@
 	// checkTimeout is how long an engine may take to answer before it counts
 	// as gone.
 	checkTimeout = 70 * time.Millisecond
-	// checkLife is how long the outcome of a check is used.
-	checkLife = 600 * time.Millisecond
+	// silentLife is how long the outcome of a check is used for an engine that
+	// no stream hears of, and talkingLife for one that others get through.
+	silentLife  = 600 * time.Millisecond
+	talkingLife = 2 * time.Second
 	// notableFull is the share of a KV cache in use from which on a check is
 	// worth a line in the log.
 	notableFull = 0.9
 	// manyGone is the number of engines that seem gone at once from which on
-	// the fault is taken to be this host's own.
-	manyGone = 4
+	// the fault may be this host's own, and goneToAnswered how many more of
+	// them than of those that answer there are in that case.
+	manyGone       = 4
+	goneToAnswered = 4
 )
 
 // checker asks engines whether they are there, and how they are, for all
@@ -40,14 +44,14 @@
 func newChecker() *checker { return &checker{known: map[string]checked{}} }
 
 // check returns those of some engines that are known to be gone, and starts to
-// ask those that were not asked lately.
-func (c *checker) check(f *Forwarder, addresses []string, requestID string, now time.Time) (gone []string) {
+// ask those that were not asked for a time.
+func (c *checker) check(f *Forwarder, addresses []string, life time.Duration, requestID string, now time.Time) (gone []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
 	for _, address := range addresses {
 		k, ok := c.known[address]
-		if ok {
+		if ok && (k.pending || now.Sub(k.at) <= life) {
 			if k.gone {
 				gone = append(gone, address)
 			}
@@ -61,7 +65,7 @@
 		c.known[address] = checked{pending: true, at: now}
 		go c.ask(f, r, requestID)
 	}
-	if c.goneCount() >= manyGone {
+	if c.ownFault(now) {
 		return nil
 	}
 	return gone
@@ -69,20 +73,26 @@
 
 func (c *checker) forget(now time.Time) {
 	for address, k := range c.known {
-		if !k.pending && now.Sub(k.at) > checkLife {
+		if !k.pending && now.Sub(k.at) > talkingLife {
 			delete(c.known, address)
 		}
 	}
 }
 
-func (c *checker) goneCount() int {
-	n := 0
+// ownFault reports whether hardly any engine that was checked lately has answered:
+// then this host is cut off, and not the engines.
+func (c *checker) ownFault(now time.Time) bool {
+	gone, answered := 0, 0
 	for _, k := range c.known {
-		if k.gone {
-			n++
+		switch {
+		case k.pending || now.Sub(k.at) > silentLife:
+		case k.gone:
+			gone++
+		default:
+			answered++
 		}
 	}
-	return n
+	return gone >= manyGone && gone > goneToAnswered*answered
 }
 
 // ask asks one engine; it ends within checkTimeout.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -62,11 +62,12 @@
 	if len(suspects) == 0 && quiet < slowPatience {
 		return ""
 	}
+	life := silentLife
 	if len(suspects) == 0 {
 		// Other streams get through all engines, so one of them may be slow.
-		suspects = s.at.beat.Hops()
+		suspects, life = s.at.beat.Hops(), talkingLife
 	}
-	dead := s.f.checker.check(s.f, suspects, s.req.ID, now)
+	dead := s.f.checker.check(s.f, suspects, life, s.req.ID, now)
 	if len(dead) > 0 {
 		for _, address := range dead {
 			s.tried[address] = true
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -69,6 +69,52 @@
 	})
 }
 
+// Many engines that go at once are told from a host that is cut off from all of
+// them: streams move off the former, and are left alone on the latter.
+func TestManyEnginesThatGoAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		all   bool
+		moves bool
+	}{{"some engines", false, true}, {"all engines", true, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(0)
+			w.replaceEngines(3)
+			var responses []*forward.Response
+			for i := range 2 {
+				req := request("stream")
+				req.ID = fmt.Sprint("stream-", i)
+				responses = append(responses, w.forwarder.Do(t.Context(), req))
+			}
+			lost := map[string]bool{}
+			for _, s := range w.upstream.sent() {
+				for i, h := range s.Path.Hops {
+					if c.all || i > 0 {
+						lost[h.Address] = true
+						w.upstream.lose(h.Address)
+					}
+				}
+			}
+			is.True(len(lost) >= 4)
+			lostAt := time.Now()
+			whole := make(chan bool, len(responses))
+			for _, resp := range responses {
+				go func() {
+					ids, err := read(t, resp)
+					whole <- err == nil && len(ids) == events
+				}()
+			}
+			is.Equal(<-whole, c.moves)
+			is.Equal(<-whole, c.moves)
+			is.Equal(w.upstream.moves > 0, c.moves)
+			// Both are moved off by the first checks, before callers mind.
+			is.True(!c.moves || w.upstream.movedAt.Sub(lostAt) < 300*time.Millisecond)
+		})
+	}
+}
+
 // The first engine breaks the stream off: it goes on behind the last event at
 // another one.
 func TestAStreamGoesOnBehindTheLastEvent(t *testing.T) {
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -107,6 +107,22 @@
 	return w
 }
 
+// replaceEngines lists some engines for each single layer in place of the others.
+func (w *world) replaceEngines(each int) {
+	for i := range 4 {
+		w.replicas.Remove(fmt.Sprintf("e%d", i), time.Now())
+	}
+	for layer := range layers {
+		for n := range each {
+			id := fmt.Sprintf("%d-%d", layer, n)
+			w.replicas.Put(replica.Replica{
+				ID: id, Service: "model", Address: id, FailureDomain: "a", Started: 1, Accelerator: "small",
+				Layers: route.Range{From: layer, To: layer + 1}, Slots: 8,
+			})
+		}
+	}
+}
+
 func request(rule string) *forward.Request {
 	return &forward.Request{
 		ID: rule + "-1", Method: "POST", Host: "h", Target: "/" + rule + "/x", Key: key,
