Feed members too, pack news, and let the strongest hosts read

Members come with the feed's answers. While neither store nor reader is there, a host asks the store each 2 s at most and waits for its reader to tell that it is back. A starting host joins at once and reads on only when it knows who feeds it. News is packed once for all askers; what is too large is announced, and fetched from the store. The strongest hosts read (processor times link), one for 24 others. The group has 17 topics, so that 408 hosts are seen in place of 96.

Ruled out: a host that keeps heartbeats up while it stops (a reader that stops reads the members once more instead, and those it feeds turn to the next at once).

--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"bulrushshed/feed"
@@ -11,7 +12,7 @@
 
 const (
 	// fedHosts is how many hosts one that reads the store serves.
-	fedHosts = 15
+	fedHosts = 24
 	// feedWait is how long a host that reads the store may wait for news
 	// before it answers another one, and feedMargin how much later than that
 	// the answer may come.
@@ -36,6 +37,8 @@
 	host *Host
 	log  *feed.Log
 	node *peer.Node
+	// fedAt is when another host last told its news; 0 if none did.
+	fedAt atomic.Int64
 }
 
 // newFeeder opens the socket between hosts.
@@ -71,5 +74,12 @@
 	case r.Feed == nil || r.Feed.Host != from.Name || !r.Feed.Usable(a.Next):
 		return feed.Answer{}, errNoFeed
 	}
+	f.fedAt.Store(int64(f.host.fresh.Now()))
 	return *r.Feed, nil
 }
+
+// fed reports whether another host has told its news lately.
+func (f *feeder) fed() bool {
+	at := f.fedAt.Load()
+	return at > 0 && f.host.fresh.Now()-time.Duration(at) < feedWait+feedMargin
+}
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -17,9 +17,14 @@
 	configWait   = 1500 * time.Millisecond
 	replicasWait = 2 * time.Second
 	// failPause is the pause behind a read that failed; it doubles with each
-	// further one up to maxFailPause, and varies by half.
+	// further one up to maxFailPause, or to fedFailPause on a host that another
+	// one feeds, and varies by half.
 	failPause    = 100 * time.Millisecond
 	maxFailPause = 500 * time.Millisecond
+	fedFailPause = 2 * time.Second
+	// meetWait bounds how long a host that has just started waits before it
+	// reads on.
+	meetWait = 600 * time.Millisecond
 	// gatherTime is how long changes of the replicas are left to gather before
 	// the next read.
 	gatherTime = 700 * time.Millisecond
@@ -47,18 +52,21 @@
 	host *Host
 	// next is the offset to read on from; -1 for the newest of each key.
 	next int64
-	// connected is whether the last read of the store succeeded, and pause the
-	// one behind the next read that fails.
+	// connected is whether the last read of the store succeeded, pause the one
+	// behind the next read that fails, and retry when the store is read again.
 	connected bool
 	pause     time.Duration
+	retry     time.Time
 	// source names the host that feeds this one; "" if there is none. proof is
 	// the newest one by that host's clock, and offset compares the clocks.
 	source string
 	proof  time.Duration
 	offset feed.Offset
-	// rest is until when no other host is asked, and hurry is set when the
-	// next read of the store must not wait: the last answer may be old.
-	rest  time.Time
+	// rest is until when the host that is left is not asked.
+	rest time.Time
+	left string
+	// hurry is set when the next read of the store must not wait: the last
+	// answer may be old, and others may wait for this host to read.
 	hurry bool
 }
 
@@ -69,42 +77,88 @@
 	go func() {
 		defer func() { done <- nil }()
 		for ctx.Err() == nil {
-			if from, ok := h.group.source(); ok && time.Now().After(c.rest) {
-				c.feed(ctx, from)
-				continue
-			}
-			c.source = ""
-			c.read(ctx)
+			c.step(ctx)
 		}
 	}()
 	return done
 }
 
-// feed takes news from a host that reads the store.
-func (c *cursor) feed(ctx context.Context, from Peer) {
+// step takes news from another host, or from the store. While neither of the two
+// can be read, the store is read seldom, and the other host is asked to tell when it
+// is back.
+func (c *cursor) step(ctx context.Context) {
+	now := time.Now()
+	from, fed := c.host.group.source()
+	switch {
+	case fed && !c.connected && now.Before(c.retry):
+		if !c.feed(ctx, from) {
+			pause(ctx, failPause)
+		}
+		return
+	case fed && c.connected && (from.Name != c.left || now.After(c.rest)):
+		if !c.feed(ctx, from) {
+			c.rest = now.Add(feedRest)
+			c.left = from.Name
+		}
+		return
+	}
+	c.hurry = c.hurry || c.source != ""
+	c.source = ""
+	if c.read(ctx) {
+		c.pause = failPause
+		return
+	}
+	wait := c.pause/2 + rand.N(c.pause)
+	c.retry = time.Now().Add(wait)
+	if fed {
+		c.pause = min(2*c.pause, fedFailPause)
+		return
+	}
+	c.pause = min(2*c.pause, maxFailPause)
+	pause(ctx, wait)
+}
+
+// feed takes news from a host that reads the store, and reports whether it could.
+func (c *cursor) feed(ctx context.Context, from Peer) (ok bool) {
 	if c.source != from.Name {
 		c.host.log.Info("feed: followed", "topic", c.topic, "from", from.Name)
 		c.source = from.Name
 		c.proof = 0
 	}
 	sent := c.host.fresh.Now()
-	a, err := c.host.feeder.ask(ctx, from, feed.Ask{Topic: c.topic, Next: c.next, Proved: c.proof, Wait: feedWait})
-	if ctx.Err() != nil {
-		return
-	}
+	a, err := c.host.feeder.ask(ctx, from, feed.Ask{
+		Topic: c.topic, Next: c.next, Proved: c.proof, Generation: c.host.group.known(), Wait: feedWait, Patient: !c.connected,
+	})
 	if err != nil {
-		c.host.log.Info("feed: left", "topic", c.topic, "from", from.Name, "cause", err.Error())
-		c.rest = time.Now().Add(feedRest)
-		c.hurry = true
-		return
+		if c.connected && ctx.Err() == nil {
+			c.host.log.Info("feed: left", "topic", c.topic, "from", from.Name, "cause", err.Error())
+		}
+		return false
+	}
+	if a.Members != nil {
+		c.host.group.learn(*a.Members)
 	}
 	c.offset.Learn(a, sent)
+	c.left = ""
+	if a.Fetch {
+		if !c.connected {
+			return false
+		}
+		c.hurry = true
+		return c.read(ctx)
+	}
+	page, err := a.Open()
+	if err != nil {
+		c.host.log.Error("feed: unreadable", "topic", c.topic, "from", from.Name, "cause", err.Error())
+		return false
+	}
 	c.proof = a.Proved
-	c.take(a.Page, a.Whole, c.offset.Own(a.Proved), false)
+	c.take(page, a.Whole, c.offset.Own(a.Proved), false)
+	return true
 }
 
-// read reads the store.
-func (c *cursor) read(ctx context.Context) {
+// read reads the store, and reports whether it could.
+func (c *cursor) read(ctx context.Context) (ok bool) {
 	sent := c.host.fresh.Now()
 	var p feed.Page
 	var err error
@@ -119,23 +173,34 @@
 	c.hurry = false
 	if err != nil {
 		c.failed(err)
-		pause(ctx, c.pause/2+rand.N(c.pause))
-		c.pause = min(2*c.pause, maxFailPause)
-		return
-	}
-	c.pause = failPause
-	if !c.connected {
-		c.connected = true
-		c.host.log.Info("store: regained", "topic", c.topic)
+		return false
 	}
 	c.take(p, c.next < 0, sent, true)
 	if c.gather > 0 && len(p.Changes) > 0 {
 		pause(ctx, c.gather)
 	}
+	c.meet(ctx)
+	return true
+}
+
+// meet waits for a moment until a host that has just started knows whether another
+// one feeds it.
+func (c *cursor) meet(ctx context.Context) {
+	t := time.NewTimer(meetWait)
+	defer t.Stop()
+	select {
+	case <-c.host.group.met:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // take applies a page, and passes it on.
 func (c *cursor) take(p feed.Page, whole bool, proved time.Duration, direct bool) {
+	if !c.connected {
+		c.connected = true
+		c.host.log.Info("store: regained", "topic", c.topic, "direct", direct)
+	}
 	if whole || len(p.Changes) > 0 {
 		c.apply(p, whole)
 		c.host.feeder.log.Put(c.topic, p, whole)
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/samber/lo"
 
+	"bulrushshed/feed"
 	"bulrushshed/gossip"
+	"bulrushshed/loop"
 	"bulrushshed/platform"
 )
 
@@ -25,17 +29,28 @@
 	joinTurns = 2
 	// leaseMargin is how much sooner a holder stops than others may begin.
 	leaseMargin = 700 * time.Millisecond
+	// servePoll is the time between two looks whether the host can serve.
+	servePoll = 20 * time.Millisecond
+	// meetTime is how long a host that has joined waits before it reads the
+	// members for the first time.
+	meetTime = 300 * time.Millisecond
+	// maxHosts is the number of hosts up to which each gets callers.
+	// A topic has topicParts partitions.
+	maxHosts   = 408
+	topicParts = 24
 	// assumedHosts is the number of hosts that share the work, and assumedNear
 	// that of those in this failure domain, as long as the group is not known.
 	assumedHosts = 8
 	assumedNear  = 3
-	// memberFields is the number of fields of a member's name.
-	memberFields = 5
+	// memberFields is the number of fields of a member's name, and powerDigits
+	// that of digits that tell its power.
+	powerDigits  = 3
+	memberFields = 6
 )
 
-// groupTopics share out their partitions among the hosts; a host is a member
-// that others see as long as there are no more hosts than partitions.
-var groupTopics = []string{"hosts0", "hosts1", "hosts2", "hosts3"}
+// groupTopics share out their partitions among the hosts; a host is a member that
+// others see as long as there are no more hosts than partitions.
+var groupTopics = lo.Times(maxHosts/topicParts, func(i int) string { return fmt.Sprintf("hosts%d", i) })
 
 // Peer is an entry host that takes requests.
 type Peer struct {
@@ -46,6 +61,21 @@
 	// PeerAddress is where other hosts meet it, and Pin how they know it.
 	PeerAddress string
 	Pin         string
+	// Power is its processor times its link, to compare hosts.
+	Power float64
+}
+
+// parsePeer reads a member's name.
+func parsePeer(name string) (p Peer, ok bool) {
+	fields := strings.Split(name, "|")
+	if len(fields) != memberFields {
+		return Peer{}, false
+	}
+	power, err := strconv.ParseFloat(fields[4], 64)
+	if err != nil {
+		return Peer{}, false
+	}
+	return Peer{Name: name, Address: fields[0], FailureDomain: fields[1], PeerAddress: fields[2], Pin: fields[3], Power: power}, true
 }
 
 // group is this host's part in the group of entry hosts. The member of the
@@ -55,6 +85,8 @@
 	host *Host
 	// member is the name by which others know this host.
 	member string
+	// met is closed when the host has tried to read the members.
+	met chan struct{}
 
 	mu         sync.Mutex
 	generation int64
@@ -76,35 +108,66 @@
 
 func newGroup(h *Host, pin string) *group {
 	started := time.Now().Format("150405.000000")
-	fields := []string{h.cfg.CallerAddress, h.cfg.FailureDomain, h.cfg.PeerAddress, pin, started}
-	return &group{host: h, member: strings.Join(fields, "|")}
+	power := strconv.FormatFloat(h.cfg.ProcessorShare*h.cfg.LinkMbps, 'g', powerDigits, 64)
+	fields := []string{h.cfg.CallerAddress, h.cfg.FailureDomain, h.cfg.PeerAddress, pin, power, started}
+	return &group{host: h, member: strings.Join(fields, "|"), met: make(chan struct{})}
+}
+
+// run joins the group once the host can serve, and keeps it there until ctx ends.
+func (g *group) run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for t, _ := g.host.Table(); t == nil && ctx.Err() == nil; t, _ = g.host.Table() {
+			pause(ctx, servePoll)
+		}
+		g.join()
+		// Hosts that started together have joined by then.
+		pause(ctx, meetTime)
+		g.keep(ctx)
+		close(g.met)
+		done <- <-loop.Every(ctx, joinEvery, g.keep)
+	}()
+	return done
 }
 
-// keep sends a heartbeat, and reads the members when they have changed. A host
-// joins once it can serve.
+// keep sends a heartbeat, and reads the members when they have changed.
 func (g *group) keep(context.Context) {
-	if t, _ := g.host.Table(); t == nil || g.host.stopping.Load() {
+	if g.turns++; g.host.stopping.Load() || g.turns%joinTurns != 0 && !g.feeds() {
 		return
 	}
-	if g.turns++; g.turns%joinTurns != 0 && !g.feeds() {
-		return
+	if generation, ok := g.join(); ok && generation != g.known() && !g.host.feeder.fed() {
+		g.read(generation)
 	}
+}
+
+// join sends a heartbeat, and returns the generation of the group.
+func (g *group) join() (generation int64, ok bool) {
 	sent := bootTime()
 	m, err := g.host.store.Join(groupName, g.member, groupTopics, joinLife, g.generationNow())
 	if err != nil {
 		g.host.log.Debug("group: heartbeat failed", "cause", err.Error())
-		return
+		return 0, false
 	}
 	g.host.feeder.log.Reach(sent)
-	if !g.joined(m, sent) {
-		return
-	}
+	g.joined(m, sent)
+	return m.Generation, true
+}
+
+// read reads the members of a generation, or of a later one.
+func (g *group) read(generation int64) {
 	names, err := g.host.store.Members(groupName)
 	if err != nil {
 		g.host.log.Warn("group: members not read", "cause", err.Error())
 		return
 	}
-	g.learn(m.Generation, names)
+	g.learn(feed.Members{Generation: generation, Names: names})
+}
+
+// known is the generation of the members that this host knows.
+func (g *group) known() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.seen
 }
 
 func (g *group) generationNow() int64 {
@@ -113,9 +176,8 @@
 	return g.generation
 }
 
-// joined takes the answer to a heartbeat, and reports whether the members have
-// changed.
-func (g *group) joined(m platform.Membership, sent time.Duration) bool {
+// joined takes the answer to a heartbeat.
+func (g *group) joined(m platform.Membership, sent time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m.First != g.first {
@@ -124,32 +186,34 @@
 	g.generation = m.Generation
 	g.first = m.First
 	g.until = sent + joinLife - leaseMargin
-	return g.seen != m.Generation
 }
 
-func (g *group) learn(generation int64, names []string) {
-	var peers []Peer
-	for _, name := range names {
-		fields := strings.Split(name, "|")
-		if len(fields) == memberFields {
-			peers = append(peers, Peer{Name: name, Address: fields[0], FailureDomain: fields[1], PeerAddress: fields[2], Pin: fields[3]})
-		}
-	}
+// learn takes the members, and passes them on.
+func (g *group) learn(m feed.Members) {
+	g.host.feeder.log.Meet(m)
+	peers := lo.FilterMap(m.Names, func(name string, _ int) (Peer, bool) { return parsePeer(name) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.seen = generation
+	if m.Generation <= g.seen {
+		return
+	}
+	g.seen = m.Generation
 	g.pins = lo.SliceToMap(peers, func(p Peer) (string, bool) { return p.Pin, true })
-	g.feeder = g.feederAmong(peers)
+	if !g.left {
+		g.feeder = g.feederAmong(peers)
+	}
 	// A host that has started again may be there twice for a while.
 	peers = lo.UniqBy(peers, func(p Peer) string { return p.Address })
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	g.peers = peers
-	g.host.log.Info("group: members", "hosts", len(peers), "generation", generation)
+	g.host.log.Info("group: members", "hosts", len(peers), "generation", m.Generation)
 }
 
 // feederAmong returns the member that feeds this host, or nil.
 func (g *group) feederAmong(peers []Peer) *Peer {
-	all := lo.Map(peers, func(p Peer, _ int) gossip.Member { return gossip.Member{Name: p.Name, FailureDomain: p.FailureDomain} })
+	all := lo.Map(peers, func(p Peer, _ int) gossip.Member {
+		return gossip.Member{Name: p.Name, FailureDomain: p.FailureDomain, Power: p.Power}
+	})
 	source := gossip.Source(gossip.Member{Name: g.member, FailureDomain: g.host.cfg.FailureDomain}, all, fedHosts)
 	if p, ok := lo.Find(peers, func(p Peer) bool { return p.Name == source }); ok {
 		return &p
@@ -162,7 +226,7 @@
 func (g *group) source() (p Peer, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.feeder == nil || g.left {
+	if g.feeder == nil {
 		return Peer{}, false
 	}
 	return *g.feeder, true
@@ -222,12 +286,18 @@
 func (g *group) leave() <-chan struct{} {
 	g.mu.Lock()
 	g.left = true
+	feeds := g.feeder == nil
 	g.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		if err := g.host.store.Leave(groupName, g.member); err != nil {
 			g.host.log.Warn("group: not left", "cause", err.Error())
+			return
+		}
+		if feeds {
+			// Those that it feeds turn to another host at once.
+			g.read(g.known() + 1)
 		}
 	}()
 	return done
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -112,7 +112,7 @@
 		h.feeder.node.Serve(work),
 		h.follow(work, h.configFollower()),
 		h.follow(work, h.replicaFollower()),
-		loop.Every(work, joinEvery, h.group.keep),
+		h.group.run(work),
 		loop.Every(work, controlEvery, h.control.turn),
 		loop.Every(work, tidyEvery, h.tidy),
 	}
--- a/feed/log.go
+++ b/feed/log.go
@@ -20,6 +20,7 @@
 
 	mu      sync.Mutex
 	topics  map[string]*topic
+	members Members
 	reached time.Duration
 }
 
@@ -34,10 +35,19 @@
 	since  int64
 	next   int64
 	proved time.Duration
+	// packed is the news from one offset up to next, as most askers need it.
+	packed packed
 	// news is closed at each change of the above.
 	news chan struct{}
 }
 
+// packed is a page in few bytes; tooLarge is set if there are too many of them.
+type packed struct {
+	from, next int64
+	bytes      []byte
+	tooLarge   bool
+}
+
 // NewLog returns an empty log of a host, by a clock that also counts the time that
 // the machine was suspended.
 func NewLog(host string, clock func() time.Duration) *Log {
@@ -110,6 +120,19 @@
 	l.reached = max(l.reached, at)
 }
 
+// Meet takes the members of the group, if they are newer than those known.
+func (l *Log) Meet(m Members) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.Generation <= l.members.Generation {
+		return
+	}
+	l.members = m
+	for _, t := range l.topics {
+		t.wake()
+	}
+}
+
 func (l *Log) topic(name string) *topic {
 	t, ok := l.topics[name]
 	if !ok {
@@ -155,19 +178,58 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	answer = Answer{Host: l.host, Now: l.clock(), Reached: l.reached, Page: Page{Next: -1}}
-	t, ok := l.topics[a.Topic]
-	if !ok || !t.direct {
-		return answer, nil, 0
+	t := l.topic(a.Topic)
+	if !t.direct {
+		return answer, t.news, a.wait()
 	}
 	answer.Direct = true
+	if l.members.Generation > a.Generation {
+		known := l.members
+		answer.Members = &known
+	}
 	answer.Proved = t.proved
-	answer.Page, answer.Whole = t.behind(a.Next)
-	if t.next > a.Next || t.proved > a.Proved {
+	t.fill(&answer, a.Next)
+	if answer.Members != nil || t.next > a.Next || t.proved > a.Proved {
 		return answer, nil, 0
 	}
 	return answer, t.news, l.reached + ReachTerm - answer.Now
 }
 
+// wait is how long the answer waits until this host reads the store.
+func (a Ask) wait() time.Duration {
+	switch {
+	case a.Patient:
+		return a.Wait
+	case a.Proved == 0:
+		return directWait
+	}
+	return 0
+}
+
+// fill puts the news behind an offset into an answer.
+func (t *topic) fill(answer *Answer, next int64) {
+	p, whole := t.behind(next)
+	answer.Page.Next = p.Next
+	answer.Whole = whole
+	if p.size() <= plainBytes {
+		answer.Page = p
+		return
+	}
+	if t.packed.from != next || t.packed.next != p.Next || t.packed.bytes == nil {
+		t.packed = packed{from: next, next: p.Next}
+		if p.size() <= packBytes {
+			// What can't be packed is fetched from the store.
+			t.packed.bytes, _ = p.pack()
+		}
+		t.packed.tooLarge = len(t.packed.bytes) == 0 || len(t.packed.bytes) > passBytes
+	}
+	if t.packed.tooLarge {
+		answer.Fetch = true
+		return
+	}
+	answer.Packed = t.packed.bytes
+}
+
 // behind returns the changes from an offset on, or the newest of each key if some
 // of them are no longer held.
 func (t *topic) behind(next int64) (p Page, whole bool) {
--- a/feed/log_test.go
+++ b/feed/log_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +38,13 @@
 	return l
 }
 
+// indirect returns the same log on a host that is fed by another one.
+func indirect(now func() time.Duration) *feed.Log {
+	l := reading(now)
+	l.Prove(topic, now(), false)
+	return l
+}
+
 func TestAnswersBeginWhereTheAskerIs(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -101,6 +111,12 @@
 		}, 100 * time.Millisecond},
 		{"proof", func(l *feed.Log, now func() time.Duration) { l.Prove(topic, now(), true) }, 100 * time.Millisecond},
 		{"loss", func(l *feed.Log, _ func() time.Duration) { l.Lose(topic) }, 100 * time.Millisecond},
+		{"members", func(l *feed.Log, _ func() time.Duration) {
+			l.Meet(feed.Members{Generation: 4, Names: []string{"entry-1"}})
+		}, 100 * time.Millisecond},
+		{"members that are known", func(l *feed.Log, _ func() time.Duration) {
+			l.Meet(feed.Members{Generation: 3, Names: []string{"entry-1"}})
+		}, 600 * time.Millisecond},
 		{"reached", func(l *feed.Log, now func() time.Duration) { l.Reach(now()) }, 600 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -115,7 +131,7 @@
 					c.do(l, now)
 				}()
 				began := time.Now()
-				a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Proved: proved, Wait: 600 * time.Millisecond})
+				a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Proved: proved, Generation: 3, Wait: 600 * time.Millisecond})
 				is.Equal(time.Since(began), c.took)
 				is.Equal(a.Usable(8), c.name != "loss")
 			})
@@ -143,11 +159,8 @@
 func TestWhatIsOfNoUse(t *testing.T) {
 	t.Parallel()
 	now := clock(time.Hour)
-	unknown := feed.NewLog("entry-1", now)
-	indirect := reading(now)
-	indirect.Prove(topic, now(), false)
-	for name, l := range map[string]*feed.Log{"unknown topic": unknown, "read at another host": indirect} {
-		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: -1, Wait: time.Hour})
+	for name, l := range map[string]*feed.Log{"unknown topic": feed.NewLog("entry-1", now), "read at another host": indirect(now)} {
+		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: -1, Proved: 1, Wait: time.Hour})
 		if a.Usable(-1) {
 			t.Errorf("%s: got a usable answer", name)
 		}
@@ -158,6 +171,53 @@
 	}
 }
 
+// Who asks a host for the first time may be there before the host reads the store;
+// who can't read it either waits as long as it may.
+func TestAHostHasAMomentToBeginToRead(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		ask         feed.Ask
+		after, took time.Duration
+		usable      bool
+	}{
+		{feed.Ask{}, 50 * time.Millisecond, 50 * time.Millisecond, true},
+		{feed.Ask{}, time.Second, 200 * time.Millisecond, false},
+		{feed.Ask{Proved: 1}, 50 * time.Millisecond, 0, false},
+		{feed.Ask{Proved: 1, Patient: true}, 400 * time.Millisecond, 400 * time.Millisecond, true},
+		{feed.Ask{Proved: 1, Patient: true}, time.Second, 600 * time.Millisecond, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			now := clock(time.Hour)
+			l := indirect(now)
+			go func() {
+				time.Sleep(c.after)
+				l.Prove(topic, now(), true)
+			}()
+			began := time.Now()
+			ask := c.ask
+			ask.Topic, ask.Next, ask.Wait = topic, 8, 600*time.Millisecond
+			a := l.Answer(t.Context(), ask)
+			is.Equal(time.Since(began), c.took)
+			is.Equal(a.Usable(8), c.usable)
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
+
+// Members come with the answer, once for each generation, and only grow.
+func TestAnswersCarryTheMembers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := reading(clock(time.Hour))
+	l.Meet(feed.Members{Generation: 5, Names: []string{"entry-1", "entry-2"}})
+	l.Meet(feed.Members{Generation: 4, Names: []string{"entry-1"}})
+	a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Generation: 4})
+	is.Equal(*a.Members, feed.Members{Generation: 5, Names: []string{"entry-1", "entry-2"}})
+	a = l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8, Generation: 5})
+	is.Equal(a.Members, nil)
+}
+
 // An asker that left is not answered later.
 func TestAnswersEndWithTheirContext(t *testing.T) {
 	t.Parallel()
@@ -204,10 +264,10 @@
 				l.Put(topic, p, false)
 			}
 			if rapid.Bool().Draw(t, "ask") {
-				asked = follow(l, got, asked)
+				asked = follow(t, l, got, want, asked)
 			}
 		}
-		follow(l, got, asked)
+		follow(t, l, got, want, asked)
 		if len(got) != len(want) {
 			t.Fatalf("got %d keys, want %d", len(got), len(want))
 		}
@@ -235,15 +295,84 @@
 	}
 }
 
-func follow(l *feed.Log, state map[string]string, next int64) int64 {
+// follow brings a state up to date by an answer, or by what the store has if the
+// answer says so.
+func follow(t *rapid.T, l *feed.Log, state, store map[string]string, next int64) int64 {
 	a := l.Answer(context.Background(), feed.Ask{Topic: topic, Next: next})
+	if a.Fetch {
+		clear(state)
+		maps.Copy(state, store)
+		return a.Page.Next
+	}
 	if a.Whole {
 		clear(state)
 	}
-	for _, c := range a.Page.Changes {
+	p, err := a.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range p.Changes {
 		apply(state, c)
 	}
-	return a.Page.Next
+	return p.Next
+}
+
+// Much news is packed, and too much of it is left to the store.
+func TestLargeNewsIsPackedOrFetched(t *testing.T) {
+	t.Parallel()
+	text := strings.Repeat(`{"path_prefix":"/a/","service":"b"},`, 4000)
+	noise := make([]byte, 100<<10)
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range noise {
+		noise[i] = byte(r.Uint32())
+	}
+	for _, c := range []struct {
+		name, value   string
+		packed, fetch bool
+	}{
+		{"little", text[:1000], false, false},
+		{"much", text, true, false},
+		{"much that can't be packed", string(noise), false, true},
+		{"very much", strings.Repeat(text, 5), false, true},
+	} {
+		is := is.New(t)
+		now := clock(time.Hour)
+		l := reading(now)
+		l.Put(topic, feed.Page{Changes: []feed.Change{change(8, "config", c.value)}, Next: 9}, false)
+		for range 2 { // the second answer is the same
+			a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 8})
+			is.True(a.Usable(8))
+			is.Equal(len(a.Packed) > 0, c.packed)
+			is.True(len(a.Packed) < len(text)/4)
+			is.Equal(a.Fetch, c.fetch)
+			p, err := a.Open()
+			is.NoErr(err)
+			is.Equal(p.Next, int64(9))
+			if !c.fetch {
+				is.Equal(p.Changes, []feed.Change{change(8, "config", c.value)})
+			}
+		}
+		// One that is further behind gets other news.
+		a := l.Answer(t.Context(), feed.Ask{Topic: topic, Next: 7})
+		p, err := a.Open()
+		is.NoErr(err)
+		is.True(c.fetch || len(p.Changes) == 2)
+	}
+}
+
+// Bytes that are no page are an error, and so are too many of them.
+func FuzzOpen(f *testing.F) {
+	l := reading(clock(time.Hour))
+	l.Put(topic, feed.Page{Changes: []feed.Change{change(8, "config", strings.Repeat("x", 8<<10))}, Next: 9}, false)
+	f.Add(l.Answer(context.Background(), feed.Ask{Topic: topic, Next: 8}).Packed)
+	f.Add([]byte{0, 1, 2})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		p, err := feed.Answer{Packed: text, Page: feed.Page{Next: 4}}.Open()
+		var e *feed.Error
+		if err != nil && !errors.As(err, &e) || err == nil && p.Next != 4 {
+			t.Fatalf("got %v and %v", p.Next, err)
+		}
+	})
 }
 
 // A proof that came over other hosts' clocks is never taken for newer than it is,
--- a/feed/message.go
+++ b/feed/message.go
@@ -24,8 +24,19 @@
 	// Proved is the newest proof that the asker had from the host, by the
 	// host's clock.
 	Proved time.Duration `cbor:"proved"`
+	// Generation is that of the members that the asker knows.
+	Generation int64 `cbor:"generation"`
 	// Wait bounds how long the answer may wait for news.
 	Wait time.Duration `cbor:"wait"`
+	// Patient is set if the asker can't read the store, so that an answer of
+	// no use does not help it: it waits until the other host reads it again.
+	Patient bool `cbor:"patient,omitempty"`
+}
+
+// Members are those of the group of hosts, in one generation of it.
+type Members struct {
+	Generation int64    `cbor:"generation"`
+	Names      []string `cbor:"names"`
 }
 
 // Answer is what a host has read of a topic.
@@ -37,7 +48,14 @@
 	// Whole is set if the page has the newest change of each key, and not
 	// those behind the asker's offset.
 	Whole bool `cbor:"whole"`
-	Page  Page `cbor:"page"`
+	// Page is the news; its changes are in Packed if there are many of them.
+	Page   Page   `cbor:"page"`
+	Packed []byte `cbor:"packed,omitempty"`
+	// Fetch is set if the news is too large to be passed on, so that the asker
+	// is to read it in the store.
+	Fetch bool `cbor:"fetch,omitempty"`
+	// Members are set if the asker knows an older generation.
+	Members *Members `cbor:"members,omitempty"`
 	// Now is when the host answered, Proved when it asked for the news that
 	// brought the page up to date, and Reached when it last sent a call that
 	// the store answered, all by its clock.
@@ -50,6 +68,10 @@
 // all its news.
 const ReachTerm = time.Second
 
+// directWait is how long a host that is asked for the first time has to begin to
+// read the store.
+const directWait = 200 * time.Millisecond
+
 // Usable reports whether an asker that has come to an offset may go by the answer.
 func (a Answer) Usable(next int64) bool {
 	return a.Direct && a.Now-a.Reached < ReachTerm && a.Page.Next >= next
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 const (
@@ -19,6 +20,8 @@
 type Member struct {
 	Name          string
 	FailureDomain string
+	// Power is how much a host can do, beside others; the strongest ones read.
+	Power float64
 }
 
 // AllRead reports whether a fleet of n hosts is so small that all of them read
@@ -39,14 +42,11 @@
 
 // ranked returns the names of a failure domain's hosts, those that read first.
 func ranked(domain string, all []Member) []string {
-	var own []string
-	for _, m := range all {
-		if m.FailureDomain == domain {
-			own = append(own, m.Name)
-		}
-	}
-	slices.SortFunc(own, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return own
+	own := lo.Filter(all, func(m Member, _ int) bool { return m.FailureDomain == domain })
+	slices.SortFunc(own, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(a.Name), rank(b.Name)))
+	})
+	return lo.Map(own, func(m Member, _ int) string { return m.Name })
 }
 
 // Source returns the host of the same failure domain from which a host gets what
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -171,6 +171,13 @@
 		is.True(most <= fed)
 		is.True(most-least <= spread || len(serves) == 0)
 	}
+	// The strongest host reads.
+	is.New(t).Equal(gossip.Source(gossip.Member{Name: "a", FailureDomain: "0"}, []gossip.Member{
+		{Name: "a", FailureDomain: "0", Power: 1},
+		{Name: "b", FailureDomain: "0", Power: 3},
+		{Name: "c", FailureDomain: "0", Power: 2},
+		{Name: "d", FailureDomain: "1", Power: 9},
+	}, fed), "b")
 	// A host that the others do not know yet reads by itself.
 	is.New(t).Equal(gossip.Source(gossip.Member{Name: "new", FailureDomain: "0"}, []gossip.Member{{Name: "old", FailureDomain: "0"}}, fed), "")
 }
--- a/settings/host.go
+++ b/settings/host.go
@@ -25,6 +25,9 @@
 	StoreAddress     string `json:"store_address"`
 	// MemoryMB bounds the process.
 	MemoryMB int `json:"memory_mb"`
+	// ProcessorShare is the host's part of a core, and LinkMbps its link.
+	ProcessorShare float64 `json:"processor_share"`
+	LinkMbps       float64 `json:"link_mbps"`
 	// Revoke is how long a key may be used once it is taken away.
 	Revoke Duration `json:"revoke"`
 	// Grace is the time from the signal to stop to the end.
@@ -42,7 +45,7 @@
 // DefaultHost returns the settings that a file need not name.
 func DefaultHost() Host {
 	return Host{
-		MemoryMB: 256, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
+		MemoryMB: 256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
 		Log: Log{Format: "json", Level: "info"},
 	}
@@ -89,6 +92,12 @@
 	if h.RetryRatio < 0 || h.RetryRatio > 1 {
 		c.wrong("retry_ratio", fmt.Sprint(h.RetryRatio), "0 to 1")
 	}
+	if h.ProcessorShare <= 0 {
+		c.wrong("processor_share", fmt.Sprint(h.ProcessorShare), "more than 0")
+	}
+	if h.LinkMbps <= 0 {
+		c.wrong("link_mbps", fmt.Sprint(h.LinkMbps), "more than 0")
+	}
 	if h.RetryExtra < 0 {
 		c.wrong("retry_extra", fmt.Sprint(h.RetryExtra), "0 or more")
 	}
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -13,7 +13,7 @@
 
 const hostText = `{
   "caller_address": "10.1.0.40:8227", "ready_address": "10.1.0.40:8220", "directory_address": "10.1.0.40:8224", "peer_address": "10.1.0.40:7340",
-  "metrics_address": "10.1.0.40:9464", "store_address": "10.200.1.7:8223", "memory_mb": 284, "revoke": "5000ms",
+  "metrics_address": "10.1.0.40:9464", "store_address": "10.200.1.7:8223", "memory_mb": 284, "processor_share": 0.4, "link_mbps": 1000, "revoke": "5000ms",
   "retry_ratio": 0.2, "retry_extra": 202, "failure_domain": "a", "name": "entry-1"
 }`
 
@@ -31,12 +31,14 @@
 func TestHostSettingsTellEveryFault(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	text := strings.NewReplacer(`"10.1.0.40:8227"`, `"there"`, `284`, `0`, `0.2,`, `3,`, `"a"`, `""`).Replace(hostText)
+	text := strings.NewReplacer(
+		`"10.1.0.40:8227"`, `"there"`, `284`, `0`, `0.2,`, `3,`, `"a"`, `""`, `0.4,`, `0,`, `1000,`, `-1,`,
+	).Replace(hostText)
 	_, err := settings.ParseHost([]byte(text))
 	var e *settings.Error
 	is.True(errors.As(err, &e))
 	is.Equal(e.Kind, settings.KindFaulty)
-	is.Equal(len(e.Faults), 4)
+	is.Equal(len(e.Faults), 6)
 }
 
 func FuzzParseHost(f *testing.F) {
