Search paths in microseconds, and never lose one to a second visit

The price of a link depends on the failure domains alone, so the two cheapest ways by unlike engines are enough for each bound and domain; each engine's offer is asked for once; another domain is searched only if it could be cheaper; and of more than 64 engines those are searched that were among the four cheapest of some layer in the last 50 ms.

A fault found by the new test of the beginning: an engine that a path would visit twice was bound to the longer of its two ranges, and the path was lost if nobody else held the other. It is now also let run all from the first to the last.

Gap prices each engine once in place of once a layer. The controller forgets orders to engines that are gone. One logger of settings in place of two.

--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -89,6 +90,7 @@
 		clear(c.fleets)
 		return
 	}
+	c.forget(time.Now())
 	v := c.host.replicas.View()
 	t.Services(func(s *ingress.Service) {
 		if s.Model != nil {
@@ -97,6 +99,11 @@
 	})
 }
 
+// forget drops orders to engines that are no longer listed.
+func (c *controller) forget(now time.Time) {
+	maps.DeleteFunc(c.given, func(_ string, g given) bool { return now.Sub(g.at) > 2*orderLife })
+}
+
 // place gives the free engines of one model what they are to hold, or moves one
 // to layers that nobody holds.
 func (c *controller) place(ctx context.Context, s *ingress.Service, v *replica.View, fence int64) {
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,50 +33,20 @@
 	// meetTime is how long a host that has joined waits before it reads the
 	// members for the first time.
 	meetTime = 300 * time.Millisecond
-	// maxHosts is the number of hosts up to which each gets callers.
-	// A topic has topicParts partitions.
+	// maxHosts is the number of hosts up to which all are seen by the others,
+	// and topicParts that of partitions of a topic.
 	maxHosts   = 408
 	topicParts = 24
 	// assumedHosts is the number of hosts that share the work, and assumedNear
 	// that of those in this failure domain, as long as the group is not known.
 	assumedHosts = 8
 	assumedNear  = 3
-	// memberFields is the number of fields of a member's name, and powerDigits
-	// that of digits that tell its power.
-	powerDigits  = 3
-	memberFields = 6
 )
 
 // groupTopics share out their partitions among the hosts; a host is a member that
 // others see as long as there are no more hosts than partitions.
 var groupTopics = lo.Times(maxHosts/topicParts, func(i int) string { return fmt.Sprintf("hosts%d", i) })
 
-// Peer is an entry host that takes requests.
-type Peer struct {
-	// Name is that of one start of the host.
-	Name          string
-	Address       string
-	FailureDomain string
-	// PeerAddress is where other hosts meet it, and Pin how they know it.
-	PeerAddress string
-	Pin         string
-	// Power is its processor times its link, to compare hosts.
-	Power float64
-}
-
-// parsePeer reads a member's name.
-func parsePeer(name string) (p Peer, ok bool) {
-	fields := strings.Split(name, "|")
-	if len(fields) != memberFields {
-		return Peer{}, false
-	}
-	power, err := strconv.ParseFloat(fields[4], 64)
-	if err != nil {
-		return Peer{}, false
-	}
-	return Peer{Name: name, Address: fields[0], FailureDomain: fields[1], PeerAddress: fields[2], Pin: fields[3], Power: power}, true
-}
-
 // group is this host's part in the group of entry hosts. The member of the
 // first partition controls the engines; the group's generation is its fencing
 // number.
@@ -107,10 +76,11 @@
 }
 
 func newGroup(h *Host, pin string) *group {
-	started := time.Now().Format("150405.000000")
-	power := strconv.FormatFloat(h.cfg.ProcessorShare*h.cfg.LinkMbps, 'g', powerDigits, 64)
-	fields := []string{h.cfg.CallerAddress, h.cfg.FailureDomain, h.cfg.PeerAddress, pin, power, started}
-	return &group{host: h, member: strings.Join(fields, "|"), met: make(chan struct{})}
+	self := Peer{
+		Address: h.cfg.CallerAddress, FailureDomain: h.cfg.FailureDomain, PeerAddress: h.cfg.PeerAddress, Pin: pin,
+		Power: h.cfg.ProcessorShare * h.cfg.LinkMbps,
+	}
+	return &group{host: h, member: self.member(time.Now()), met: make(chan struct{})}
 }
 
 // run joins the group once the host can serve, and keeps it there until ctx ends.
@@ -191,7 +161,7 @@
 // learn takes the members, and passes them on.
 func (g *group) learn(m feed.Members) {
 	g.host.feeder.log.Meet(m)
-	peers := lo.FilterMap(m.Names, func(name string, _ int) (Peer, bool) { return parsePeer(name) })
+	peers := lo.FilterMap(m.Names, func(name string, _ int) (Peer, bool) { return peerOf(name) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m.Generation <= g.seen {
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -32,8 +32,9 @@
 	cfg := do.MustInvoke[settings.Host](i)
 	lines := newLineWriter(os.Stdout)
 	level := &slog.LevelVar{}
+	level.Set(cfg.Log.SlogLevel())
 	h := &Host{
-		cfg: cfg, lines: lines, level: level, log: newLogger(cfg, level, lines),
+		cfg: cfg, lines: lines, level: level, log: cfg.Log.Logger(lines, cfg.Name, level),
 		store:    platform.NewStore(cfg.StoreAddress, storeTimeout),
 		fresh:    ingress.NewFreshness(time.Duration(trustShare*float64(cfg.Revoke.D())), bootTime),
 		replicas: replica.NewList(lapse),
@@ -79,22 +80,6 @@
 // for hosts whose views of the group differ.
 const budgetShare = 0.8
 
-func newLogger(cfg settings.Host, level *slog.LevelVar, w *lineWriter) *slog.Logger {
-	setLevel(level, cfg)
-	opts := &slog.HandlerOptions{Level: level}
-	if cfg.Log.Format == "text" {
-		return slog.New(slog.NewTextHandler(w, opts)).With("host", cfg.Name)
-	}
-	return slog.New(slog.NewJSONHandler(w, opts)).With("host", cfg.Name)
-}
-
-func setLevel(level *slog.LevelVar, cfg settings.Host) {
-	var l slog.Level
-	// The settings were checked, so the level is one that slog knows.
-	_ = l.UnmarshalText([]byte(cfg.Log.Level))
-	level.Set(l)
-}
-
 // Reload takes the settings that can change while the host runs: the level of
 // the log. It logs which others have changed and wait for a restart.
 func (h *Host) Reload(cfg settings.Host, err error) {
@@ -102,7 +87,7 @@
 		h.log.Error("host: settings not reloaded", "cause", err.Error())
 		return
 	}
-	setLevel(h.level, cfg)
+	h.level.Set(cfg.Log.SlogLevel())
 	rest := cfg
 	rest.Log.Level = h.cfg.Log.Level
 	h.log.Info("host: settings reloaded", "level", cfg.Log.Level, "restart_needed", rest != h.cfg)
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -74,14 +74,7 @@
 
 // Logger returns a logger to standard error whose lines name the host.
 func Logger(cfg settings.Log, host string) *slog.Logger {
-	var level slog.Level
-	// The settings were checked, so the level is one that slog knows.
-	_ = level.UnmarshalText([]byte(cfg.Level))
-	opts := &slog.HandlerOptions{Level: level}
-	if cfg.Format == "text" {
-		return slog.New(slog.NewTextHandler(os.Stderr, opts)).With("host", host)
-	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, opts)).With("host", host)
+	return cfg.Logger(os.Stderr, host, cfg.SlogLevel())
 }
 
 func newDaemon(i do.Injector) (*Daemon, error) {
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -15,15 +15,15 @@
 	at       time.Time
 }
 
-// used is the share of an engine's KV cache that is in use with a stream more:
-// by its own word, if that is recent, or else as if the hosts of this failure
-// domain had as much there as this one.
-func (p *Planner) used(address string, room, more, near float64, now time.Time) float64 {
+// used is the share of an engine's KV cache that is in use, and what a stream of some
+// tokens adds to it by each layer: by its own word, if that is recent, or else as if
+// the hosts of this failure domain had as much there as this one.
+func (p *Planner) used(address string, room, tokens, near float64, now time.Time) (used, more float64) {
 	room = max(room, 1)
 	if r, ok := p.reports[address]; ok && now.Sub(r.at) <= fullLife {
-		return r.full + near*more/room
+		return r.full, near * tokens / room
 	}
-	return (near*p.cells[address] + more) / room
+	return near * p.cells[address] / room, tokens / room
 }
 
 // mostOthers is the greatest share of other failure domains' KV caches that is
--- a/pipeline/maps.go
+++ b/pipeline/maps.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,9 +14,9 @@
 type maps struct {
 	revision int64
 	model    *ingress.Model
-	// domains are maps of one failure domain and one version of the weights;
-	// whole are those of one version over all domains.
-	domains []domainMap
+	// domains are maps of one failure domain and one version of the weights,
+	// those of the host's own first; whole are those of one version over all.
+	domains []*domainMap
 	whole   []*route.Map
 	// room is the size of each engine's KV cache, and near are the addresses
 	// of those in the host's failure domain.
@@ -26,6 +27,9 @@
 type domainMap struct {
 	domain string
 	m      *route.Map
+	// few has the engines of m that were the cheapest at a time; nil for none.
+	few   *route.Map
+	fewAt time.Time
 }
 
 // mapsOf returns the maps of a view, made at its first use.
@@ -63,8 +67,17 @@
 	}
 	for _, at := range parts {
 		m := route.NewMap(a.Service, at.version, a.Model.Layers, byPart[at])
-		known.domains = append(known.domains, domainMap{domain: at.domain, m: m})
+		known.domains = append(known.domains, &domainMap{domain: at.domain, m: m})
 	}
+	slices.SortStableFunc(known.domains, func(one, other *domainMap) int {
+		switch {
+		case one.domain == domain && other.domain != domain:
+			return -1
+		case one.domain != domain && other.domain == domain:
+			return 1
+		}
+		return 0
+	})
 	for version, all := range byVersion {
 		known.whole = append(known.whole, route.NewMap(a.Service, version, a.Model.Layers, all))
 	}
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -99,21 +99,24 @@
 	return true
 }
 
-// cheapest returns the best path that leaves every KV cache below a share.
+// cheapest returns the best path that leaves every KV cache below a share. Maps of
+// the host's own failure domain come first: another domain is of no use if a path
+// there can't be cheaper.
 func (p *Planner) cheapest(known *maps, a Ask, share float64, now time.Time) (route.Route, error) {
-	prices := p.prices(known, a, share, now)
+	q := p.query(known, a, share, now)
 	var best route.Route
 	least := -1.0
 	for _, d := range known.domains {
-		r, price, err := d.m.Cheapest(prices)
-		if err != nil {
-			continue
-		}
+		away := 0.0
 		if d.domain != p.opts.FailureDomain {
-			price += float64(awayTime)
+			away = float64(awayTime)
+		}
+		if least >= 0 && least <= away {
+			break
 		}
-		if least < 0 || price < least {
-			best, least = r, price
+		r, price, err := p.within(d, known, q, a.Tokens, now)
+		if err == nil && (least < 0 || price+away < least) {
+			best, least = r, price+away
 		}
 	}
 	if least >= 0 {
@@ -122,41 +125,62 @@
 	var err error = &route.Error{Op: "path", Kind: route.KindNone, Reason: "no engine holds layers"}
 	for _, m := range known.whole {
 		var r route.Route
-		if r, _, err = m.Cheapest(prices); err == nil {
+		if r, _, err = m.Cheapest(q); err == nil {
 			return r, nil
 		}
 	}
 	return route.Route{}, err
 }
 
-func (p *Planner) prices(known *maps, a Ask, share float64, now time.Time) route.Prices {
+const (
+	// searchAll is the number of engines in a map up to which all are searched.
+	searchAll = 64
+	// fewEach is how many engines of each layer are searched beyond it, and
+	// fewLife how long these are the same ones.
+	fewEach = 4
+	fewLife = 50 * time.Millisecond
+)
+
+// within returns the best path in one map. Of many engines, only those that were the
+// cheapest of some layer a moment ago are searched, if these have a path.
+func (p *Planner) within(d *domainMap, known *maps, q route.Query, tokens int, now time.Time) (route.Route, float64, error) {
+	if d.m.Len() <= searchAll {
+		return d.m.Cheapest(q)
+	}
+	if d.few == nil || now.Sub(d.fewAt) > fewLife {
+		d.few = d.m.Narrow(p.query(known, Ask{Tokens: tokens}, brimShare, now), fewEach)
+		d.fewAt = now
+	}
+	if r, price, err := d.few.Cheapest(q); err == nil {
+		return r, price, nil
+	}
+	return d.m.Cheapest(q)
+}
+
+// query is what a stream asks of a map, if every KV cache stays below a share.
+func (p *Planner) query(known *maps, a Ask, share float64, now time.Time) route.Query {
 	near := float64(max(p.opts.Near(), 1))
-	others := p.usedNear(known, near)
-	return route.Prices{
-		Run: func(h route.Holding, layers route.Range) (float64, bool) {
-			if a.Avoid[h.Address] || layers.From == 0 && a.First != nil && !a.First[h.Address] {
-				return 0, false
+	others := sync.OnceValue(func() float64 { return p.usedNear(known, near) })
+	q := route.Query{
+		Link: float64(crossTime),
+		Offer: func(h *route.Holding) (route.Offer, bool) {
+			if _, suspect := p.suspects[h.Address]; suspect || a.Avoid[h.Address] {
+				return route.Offer{}, false
 			}
-			if _, suspect := p.suspects[h.Address]; suspect {
-				return 0, false
+			o := route.Offer{
+				Layer: float64(h.LayerTime) * p.slowness(h.Address), Fixed: float64(hopTime), Limit: share, Crowding: crowding,
 			}
-			used := p.used(h.Address, known.room[h.Address], float64(a.Tokens*layers.Len()), near, now)
+			o.Used, o.More = p.used(h.Address, known.room[h.Address], float64(a.Tokens), near, now)
 			if h.FailureDomain != p.opts.FailureDomain {
-				used += others
-			}
-			if used > share {
-				return 0, false
-			}
-			run := float64(h.LayerTime) * float64(layers.Len()) * p.slowness(h.Address)
-			return run*(1+crowding*used*used*used*used) + float64(hopTime), true
-		},
-		Link: func(from, to route.Holding) float64 {
-			if from.FailureDomain == to.FailureDomain {
-				return 0
+				o.Used += others()
 			}
-			return float64(crossTime)
+			return o, true
 		},
 	}
+	if a.First != nil {
+		q.First = func(h *route.Holding) bool { return a.First[h.Address] }
+	}
+	return q
 }
 
 // Gap says why there is no path: the first layer that no engine may run, and
@@ -165,22 +189,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.mapsOf(v, a)
-	prices := p.prices(known, a, brimShare, now)
-	for l := range a.Model.Layers {
-		one := route.Range{From: l, To: l + 1}
-		held = 0
-		free := false
-		for _, m := range known.whole {
-			for _, h := range m.Holdings() {
-				if h.Layers.Covers(one) {
-					held++
-					_, ok := prices.Run(h, one)
-					free = free || ok
-				}
+	q := p.query(known, a, brimShare, now)
+	holders, free := make([]int, a.Model.Layers), make([]bool, a.Model.Layers)
+	for _, m := range known.whole {
+		for _, h := range m.Holdings() {
+			o, usable := q.Offer(&h)
+			_, fits := o.Price(route.Range{From: h.Layers.From, To: h.Layers.From + 1})
+			for l := h.Layers.From; l < h.Layers.To; l++ {
+				holders[l]++
+				free[l] = free[l] || usable && fits && (l > 0 || q.First == nil || q.First(&h))
 			}
 		}
-		if !free {
-			return l, held
+	}
+	for l := range free {
+		if !free[l] {
+			return l, holders[l]
 		}
 	}
 	return -1, 0
--- a/pipeline/reroute.go
+++ b/pipeline/reroute.go
@@ -15,17 +15,17 @@
 	defer p.mu.Unlock()
 	known := p.mapsOf(v, a)
 	p.forget(now)
-	prices := p.keeping(p.prices(known, a, brimShare, now), old)
+	q := p.keeping(p.query(known, a, brimShare, now), old)
 	for _, d := range known.domains {
 		if d.domain == domainOf(v, old) {
-			if r, _, err = d.m.Cheapest(prices); err == nil {
+			if r, _, err = d.m.Cheapest(q); err == nil {
 				return r, p.take(r, a.Tokens), nil
 			}
 		}
 	}
 	err = &route.Error{Op: "reroute", Kind: route.KindNone, Reason: "no engine holds layers"}
 	for _, m := range known.whole {
-		if r, _, err = m.Cheapest(prices); err == nil {
+		if r, _, err = m.Cheapest(q); err == nil {
 			return r, p.take(r, a.Tokens), nil
 		}
 	}
@@ -44,26 +44,18 @@
 
 // keeping makes the hops of an old route cheap, and its first one the only way
 // to begin.
-func (p *Planner) keeping(prices route.Prices, old route.Route) route.Prices {
-	first := old.Hops[0]
+func (p *Planner) keeping(q route.Query, old route.Route) route.Query {
 	kept := map[string]route.Range{}
-	for _, h := range old.Hops {
+	for _, h := range old.Hops[1:] {
 		kept[h.Address] = h.Layers
 	}
-	run := prices.Run
-	prices.Run = func(h route.Holding, layers route.Range) (float64, bool) {
-		isFirst := h.Address == first.Address && layers == first.Layers
-		if isFirst != (layers.From == 0) {
-			return 0, false
-		}
-		if isFirst {
-			return 0, true
-		}
-		price, ok := run(h, layers)
-		if ok && kept[h.Address] == layers {
-			price *= keptPrice
-		}
-		return price, ok
+	offer := q.Offer
+	q.Offer = func(h *route.Holding) (route.Offer, bool) {
+		o, ok := offer(h)
+		o.Kept, o.KeptShare = kept[h.Address], keptPrice
+		return o, ok
 	}
-	return prices
+	q.First = nil
+	q.Begin = &old.Hops[0]
+	return q
 }
--- /dev/null
+++ b/route/cheapest_test.go
@@ -0,0 +1,200 @@
+package route_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bulrushshed/route"
+)
+
+// offers draws what some holdings of a model of some layers ask.
+func offers(t *rapid.T, layers, most int) ([]route.Holding, map[string]route.Offer) {
+	var all []route.Holding
+	asked := map[string]route.Offer{}
+	for i := range rapid.IntRange(1, most).Draw(t, "holdings") {
+		from := rapid.IntRange(0, layers-1).Draw(t, "from")
+		h := route.Holding{
+			Endpoint: fmt.Sprint("e", i), Address: fmt.Sprint("e", i), FailureDomain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
+			Model: "m", Version: "1", Layers: route.Range{From: from, To: rapid.IntRange(from+1, layers).Draw(t, "to")},
+		}
+		all = append(all, h)
+		asked[h.Endpoint] = route.Offer{
+			Layer: rapid.Float64Range(0.1, 10).Draw(t, "layer"), Fixed: rapid.Float64Range(0, 3).Draw(t, "fixed"),
+			Used: rapid.Float64Range(0, 1).Draw(t, "used"), More: rapid.Float64Range(0, 0.2).Draw(t, "more"), Limit: 1, Crowding: 8,
+			Kept: route.Range{From: from, To: from + 1}, KeptShare: 0.1,
+		}
+	}
+	return all, asked
+}
+
+func TestOffers(t *testing.T) {
+	t.Parallel()
+	o := route.Offer{Layer: 2, Fixed: 1, Used: 0.5, More: 0.1, Limit: 0.8, Crowding: 16, Kept: route.Range{From: 4, To: 6}, KeptShare: 0.5}
+	for _, c := range []struct {
+		from, to int
+		price    float64
+		fits     bool
+	}{
+		{0, 2, 2*2*(1+16*0.7*0.7*0.7*0.7) + 1, true},
+		{4, 6, (2*2*(1+16*0.7*0.7*0.7*0.7) + 1) / 2, true},
+		{4, 7, 2*3*(1+16*0.8*0.8*0.8*0.8) + 1, true},
+		{0, 4, 0, false},
+	} {
+		price, fits := o.Price(route.Range{From: c.from, To: c.to})
+		if fits != c.fits || math.Abs(price-c.price) > 1e-9 {
+			t.Errorf("%d to %d: got %f and %v, want %f and %v", c.from, c.to, price, fits, c.price, c.fits)
+		}
+	}
+}
+
+// way is a route of the exhaustive search.
+type way struct {
+	price float64
+	hops  []route.Hop
+}
+
+// exhaust returns the cheapest way to run the layers from one on, in which no holding
+// follows itself.
+func exhaust(all []route.Holding, asked map[string]route.Offer, link float64, layers, from int, last *route.Holding) way {
+	if from == layers {
+		return way{}
+	}
+	best := way{price: math.Inf(1)}
+	for i := range all {
+		h := &all[i]
+		if last != nil && h.Endpoint == last.Endpoint || h.Layers.From > from {
+			continue
+		}
+		for to := from + 1; to <= h.Layers.To; to++ {
+			o := asked[h.Endpoint]
+			r := route.Range{From: from, To: to}
+			price, ok := o.Price(r)
+			if !ok {
+				break
+			}
+			if last != nil && last.FailureDomain != h.FailureDomain {
+				price += link
+			}
+			rest := exhaust(all, asked, link, layers, to, h)
+			if price+rest.price < best.price {
+				best = way{price: price + rest.price, hops: append([]route.Hop{{Endpoint: h.Endpoint, Layers: r}}, rest.hops...)}
+			}
+		}
+	}
+	return best
+}
+
+func (w way) visitsTwice() bool {
+	seen := map[string]bool{}
+	for _, h := range w.hops {
+		if seen[h.Endpoint] {
+			return true
+		}
+		seen[h.Endpoint] = true
+	}
+	return false
+}
+
+// The search finds what trying all ways finds, if that visits no endpoint twice; a
+// way that does is not taken.
+func TestCheapestIsTheCheapest(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		const layers = 5
+		all, asked := offers(t, layers, 5)
+		link := rapid.Float64Range(0, 20).Draw(t, "link")
+		// All bounds are tried, so that both searches may change endpoints
+		// anywhere.
+		for l := range layers {
+			all = append(all, route.Holding{
+				Endpoint: fmt.Sprint("bound", l), FailureDomain: "a", Model: "m", Version: "1", Layers: route.Range{From: l, To: l + 1},
+			})
+			asked[fmt.Sprint("bound", l)] = route.Offer{Layer: 1000, Limit: 1}
+		}
+		want := exhaust(all, asked, link, layers, 0, nil)
+		r, price, err := route.NewMap("m", "1", layers, all).Cheapest(route.Query{
+			Link: link, Offer: func(h *route.Holding) (route.Offer, bool) { return asked[h.Endpoint], true },
+		})
+		if want.visitsTwice() {
+			if err == nil && price < want.price-1e-9 {
+				t.Fatalf("got a route for %f, want none below %f", price, want.price)
+			}
+			return
+		}
+		if err != nil || math.Abs(price-want.price) > 1e-9 {
+			t.Fatalf("got %v for %f (%v), want %v for %f", r.Hops, price, err, want.hops, want.price)
+		}
+	})
+}
+
+// A route that is to begin with a hop does, and does not come back to it.
+func TestCheapestKeepsTheBeginning(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		const layers = 6
+		all, asked := offers(t, layers, 8)
+		begin := route.Hop{Endpoint: "begin", Layers: route.Range{To: 2}}
+		all = append(all, route.Holding{
+			Endpoint: "begin", FailureDomain: "a", Model: "m", Version: "1", Layers: route.Range{To: rapid.IntRange(2, layers).Draw(t, "held")},
+		}, route.Holding{Endpoint: "bound", FailureDomain: "a", Model: "m", Version: "1", Layers: route.Range{From: 2, To: layers}})
+		asked["begin"] = route.Offer{Layer: 0.01, Limit: 1}
+		asked["bound"] = route.Offer{Layer: 100, Limit: 1}
+		r, _, err := route.NewMap("m", "1", layers, all).Cheapest(route.Query{
+			Begin: &begin, Offer: func(h *route.Holding) (route.Offer, bool) { return asked[h.Endpoint], true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Hops[0].Endpoint != "begin" || r.Hops[0].Layers != begin.Layers || r.Check(layers) != nil {
+			t.Fatalf("got %v, want a whole route that begins with %v", r.Hops, begin)
+		}
+		for _, h := range r.Hops[1:] {
+			if h.Endpoint == "begin" {
+				t.Fatalf("got %v, want one that does not come back", r.Hops)
+			}
+		}
+	})
+}
+
+// Few of many holdings give a route that is nearly as cheap, and lose none that all
+// of them have while each layer has a holding that takes the stream.
+func TestFewHoldingsAreEnough(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		const layers, few = 16, 4
+		var all []route.Holding
+		asked := map[string]route.Offer{}
+		for i := range 120 {
+			n := []int{2, 3, 6}[i%3]
+			from := rapid.IntRange(0, layers-n).Draw(t, "from")
+			if i < layers {
+				n, from = 1, i
+			}
+			h := route.Holding{
+				Endpoint: fmt.Sprint("e", i), FailureDomain: "a", Model: "m", Version: "1", Layers: route.Range{From: from, To: from + n},
+			}
+			all = append(all, h)
+			asked[h.Endpoint] = route.Offer{
+				Layer: rapid.SampledFrom([]float64{3, 15, 16}).Draw(t, "kind"), Fixed: 1, Used: rapid.Float64Range(0, 1).Draw(t, "used"),
+				More: 0.01, Limit: 1.8, Crowding: 8,
+			}
+		}
+		q := route.Query{Offer: func(h *route.Holding) (route.Offer, bool) { return asked[h.Endpoint], true }}
+		m := route.NewMap("m", "1", layers, all)
+		_, want, err := m.Cheapest(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		narrow := m.Narrow(q, few)
+		_, got, err := narrow.Cheapest(q)
+		if err != nil || got > 1.25*want {
+			t.Fatalf("got %f (%v) with %d of %d holdings, want at most a quarter more than %f", got, err, narrow.Len(), m.Len(), want)
+		}
+		if narrow.Len() > few*layers {
+			t.Fatalf("got %d holdings, want at most %d", narrow.Len(), few*layers)
+		}
+	})
+}
--- a/route/planner.go
+++ b/route/planner.go
@@ -106,7 +106,7 @@
 	if len(m.holdings) > searchAll {
 		m = m.narrow(p, c)
 	}
-	r, _, ok := m.search(prices{
+	r, ok := m.search(prices{
 		run: func(i int, layers Range) (float64, bool) {
 			h := m.holdings[i]
 			return float64(p.time(h, layers, c)), !p.Avoid[h.Endpoint]
@@ -125,66 +125,6 @@
 	return r, nil
 }
 
-// Prices are what Cheapest adds up.
-type Prices struct {
-	// Run is the price of running layers on a holding, and whether it may.
-	Run func(h Holding, layers Range) (float64, bool)
-	// Link is the price of the way from one holding to the next.
-	Link func(from, to Holding) float64
-}
-
-// Cheapest returns the route of the least price that visits no endpoint twice.
-// It fails with KindNone when the holdings that may run leave a layer uncovered.
-func (m *Map) Cheapest(p Prices) (r Route, price float64, err error) {
-	// only holds, for endpoints that a search visited twice, the one range
-	// that they may still run.
-	only := map[string]Range{}
-	for range maxRevisits {
-		var ok bool
-		r, price, ok = m.search(prices{
-			run: func(i int, layers Range) (float64, bool) {
-				h := m.holdings[i]
-				if one, bound := only[h.Endpoint]; bound && one != layers {
-					return 0, false
-				}
-				return p.Run(h, layers)
-			},
-			link: func(i, j int) (float64, bool) { return p.Link(m.holdings[i], m.holdings[j]), true },
-		})
-		if !ok {
-			break
-		}
-		if !r.bindRevisits(only) {
-			return r, price, nil
-		}
-	}
-	return Route{}, 0, &Error{Op: "cheapest", Kind: KindNone, Reason: fmt.Sprintf(
-		"got no way through %d holdings of %s %s, want layers 0-%d", len(m.holdings), m.model, m.version, m.layers)}
-}
-
-// maxRevisits bounds the searches for a route that visits no endpoint twice.
-const maxRevisits = 5
-
-// bindRevisits binds each endpoint that the route visits twice to the longest
-// of its ranges, and reports whether there is one.
-func (r Route) bindRevisits(only map[string]Range) bool {
-	seen := map[string]Range{}
-	found := false
-	for _, h := range r.Hops {
-		before, twice := seen[h.Endpoint]
-		if twice {
-			found = true
-		}
-		if !twice || h.Layers.Len() > before.Len() {
-			seen[h.Endpoint] = h.Layers
-		}
-		if twice {
-			only[h.Endpoint] = seen[h.Endpoint]
-		}
-	}
-	return found
-}
-
 const (
 	// searchAll is the number of holdings up to which all are searched.
 	searchAll = 64
--- a/route/search.go
+++ b/route/search.go
@@ -26,12 +26,12 @@
 	unreachable = -2
 )
 
-// search returns the cheapest route and its price.
+// search returns the cheapest route.
 //
 // It is a shortest path over (bound, last holding): layers are run in order,
 // so every edge leads to a later bound and one pass over the bounds settles
 // all costs.
-func (m *Map) search(p prices) (r Route, cost float64, ok bool) {
+func (m *Map) search(p prices) (r Route, ok bool) {
 	steps := make([][]step, len(m.bounds))
 	for b := range steps {
 		steps[b] = make([]step, len(m.holdings))
@@ -43,13 +43,13 @@
 	}
 	last := cheapest(steps[len(m.bounds)-1])
 	if last < 0 {
-		return Route{}, 0, false
+		return Route{}, false
 	}
 	r = m.trace(steps, last)
 	if err := r.Check(m.layers); err != nil {
 		panic(err)
 	}
-	return r, steps[len(m.bounds)-1][last].cost, true
+	return r, true
 }
 
 // settle finds the cheapest way to reach bound b with holding i last.
--- a/route/spread.go
+++ b/route/spread.go
@@ -27,7 +27,7 @@
 	}
 	index := map[string]int{}
 	for range rounds {
-		r, _, ok := m.search(prices{
+		r, ok := m.search(prices{
 			run: func(i int, layers Range) (float64, bool) {
 				return price[i] * float64(layers.Len()+hopLayers) / m.holdings[i].Rate(), true
 			},
