--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -57,14 +57,15 @@
 	connected bool
 	pause     time.Duration
 	retry     time.Time
-	// source names the host that feeds this one; "" if there is none. proof is
-	// the newest one by that host's clock, and offset compares the clocks.
+	// source names the host that feeds this one, or did last; proof is the
+	// newest one by that host's clock, and offset compares the clocks.
 	source string
 	proof  time.Duration
 	offset feed.Offset
-	// rest is until when the host that is left is not asked.
-	rest time.Time
-	left string
+	// avoided names the host that failed to feed this one, and rest is until
+	// when it is not asked.
+	avoided string
+	rest    time.Time
 	// hurry is set when the next read of the store must not wait: the last
 	// answer may be old, and others may wait for this host to read.
 	hurry bool
@@ -95,15 +96,13 @@
 			pause(ctx, failPause)
 		}
 		return
-	case fed && c.connected && (from.Name != c.left || now.After(c.rest)):
+	case fed && c.connected && (from.Name != c.avoided || now.After(c.rest)):
 		if !c.feed(ctx, from) {
 			c.rest = now.Add(feedRest)
-			c.left = from.Name
+			c.avoided = from.Name
 		}
 		return
 	}
-	c.hurry = c.hurry || c.source != ""
-	c.source = ""
 	if c.read(ctx) {
 		c.pause = failPause
 		return
@@ -125,6 +124,8 @@
 		c.source = from.Name
 		c.proof = 0
 	}
+	// If this fails, the store is asked for what has been missed meanwhile.
+	c.hurry = true
 	sent := c.host.fresh.Now()
 	a, err := c.host.feeder.ask(ctx, from, feed.Ask{
 		Topic: c.topic, Next: c.next, Proved: c.proof, Generation: c.host.group.known(), Wait: feedWait, Patient: !c.connected,
@@ -139,13 +140,9 @@
 		c.host.group.learn(*a.Members)
 	}
 	c.offset.Learn(a, sent)
-	c.left = ""
+	c.avoided = ""
 	if a.Fetch {
-		if !c.connected {
-			return false
-		}
-		c.hurry = true
-		return c.read(ctx)
+		return c.connected && c.read(ctx)
 	}
 	page, err := a.Open()
 	if err != nil {
--- a/feed/log.go
+++ b/feed/log.go
@@ -180,7 +180,7 @@
 	answer = Answer{Host: l.host, Now: l.clock(), Reached: l.reached, Page: Page{Next: -1}}
 	t := l.topic(a.Topic)
 	if !t.direct {
-		return answer, t.news, a.wait()
+		return answer, t.news, a.patience()
 	}
 	answer.Direct = true
 	if l.members.Generation > a.Generation {
@@ -195,13 +195,13 @@
 	return answer, t.news, l.reached + ReachTerm - answer.Now
 }
 
-// wait is how long the answer waits until this host reads the store.
-func (a Ask) wait() time.Duration {
+// patience is how long the answer waits until this host reads the store.
+func (a Ask) patience() time.Duration {
 	switch {
 	case a.Patient:
 		return a.Wait
 	case a.Proved == 0:
-		return directWait
+		return beginTime
 	}
 	return 0
 }
--- a/feed/log_test.go
+++ b/feed/log_test.go
@@ -320,7 +320,7 @@
 // Much news is packed, and too much of it is left to the store.
 func TestLargeNewsIsPackedOrFetched(t *testing.T) {
 	t.Parallel()
-	text := strings.Repeat(`{"path_prefix":"/a/","service":"b"},`, 4000)
+	text := strings.Repeat(`{"name":"a","service":"b","weight":1},`, 4000)
 	noise := make([]byte, 100<<10)
 	r := rand.New(rand.NewPCG(1, 1))
 	for i := range noise {
--- a/feed/message.go
+++ b/feed/message.go
@@ -68,9 +68,9 @@
 // all its news.
 const ReachTerm = time.Second
 
-// directWait is how long a host that is asked for the first time has to begin to
-// read the store.
-const directWait = 200 * time.Millisecond
+// beginTime is how long a host that is asked for the first time has to begin to read
+// the store.
+const beginTime = 200 * time.Millisecond
 
 // Usable reports whether an asker that has come to an offset may go by the answer.
 func (a Answer) Usable(next int64) bool {
