Test that a host without the store is fed, and put the feed into the race and fuzz targets

With the feed switched off in a scratch copy the test fails, though already where it waits for one host that reads. FuzzParseHost ran 15 s and FuzzOpen 8 s without a finding.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 skip := $(if $(red),-skip '^($(red))$$')
 
 # The packages whose tables goroutines share.
-shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./forward ./gossip \
+shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
 	./ingress ./ingresshttp ./peer ./pipeline ./publication ./replica
 
 .PHONY: build demo up test race lint prove bench fuzz hosted
@@ -44,6 +44,7 @@
 	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
+	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
 
 # The program for the users' platform, as deploy/system.toml builds it.
 hosted:
--- a/daemon/hosted/feed_test.go
+++ b/daemon/hosted/feed_test.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 )
 
 // serves waits until all hosts serve requests with a key.
@@ -65,3 +68,20 @@
 	f.serves(t, "k2", reader)
 	f.reader(t)
 }
+
+// A host that can't reach the store hears of all news from the one that feeds it, and
+// trusts keys by the proofs that come with it.
+func TestAHostWithoutTheStoreIsFed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.serves(t, "k1", f.hosts...)
+	cut := f.hosts[1-f.reader(t)]
+	cut.door.silence(true)
+	f.store.put("keyed.op", "config", configuration(4, "k2"))
+	f.serves(t, "k2", cut)
+	// Its own last read is too old by then.
+	time.Sleep(cut.cfg.Revoke.D() + time.Second)
+	f.store.put("keyed.op", "config", configuration(5, "k3"))
+	f.serves(t, "k3", cut)
+	is.New(t).Equal(first(cut.ask(t, "GET", "/stock/1", "k2")), 401)
+}
