--- a/route/cheapest.go
+++ b/route/cheapest.go
@@ -53,7 +53,7 @@
 // Cheapest returns the route of the least price that visits no endpoint twice. It
 // fails with KindNone when no route fits.
 func (m *Map) Cheapest(q Query) (r Route, price float64, err error) {
-	if r, price, ok := newSearch(m, q).simple(maxRevisits); ok {
+	if r, price, ok := newDomainSearch(m, q).simple(maxRevisits); ok {
 		return r, price, nil
 	}
 	return Route{}, 0, &Error{Op: "cheapest", Kind: KindNone, Reason: fmt.Sprintf(
@@ -70,7 +70,7 @@
 // simple returns the cheapest route that visits no endpoint twice, as far as it can be
 // found by letting an endpoint that would be run one of its ranges only, or all that
 // lies between them.
-func (s *search) simple(revisits int) (r Route, price float64, ok bool) {
+func (s *domainSearch) simple(revisits int) (r Route, price float64, ok bool) {
 	if s.searches == maxSearches {
 		return Route{}, 0, false
 	}
@@ -162,12 +162,13 @@
 	before int
 }
 
-// search looks for the cheapest route. It is a shortest path over bounds: layers are
-// run in order, so that one pass over the bounds settles all costs. The price of a
+// domainSearch looks for the cheapest route. It is a shortest path over bounds: layers
+// are run in order, so that one pass over the bounds settles all costs. The price of a
 // link depends on the failure domains alone, so that the two cheapest arrivals by
 // unlike holdings are enough for each bound and domain: a holding never follows
-// itself.
-type search struct {
+// itself. Where links have prices of their own, as in Plan, Map.search looks at all
+// pairs.
+type domainSearch struct {
 	m      *Map
 	q      Query
 	offers []Offer
@@ -190,9 +191,9 @@
 	searches int
 }
 
-func newSearch(m *Map, q Query) *search {
+func newDomainSearch(m *Map, q Query) *domainSearch {
 	n := len(m.holdings)
-	s := &search{
+	s := &domainSearch{
 		m: m, q: q, offers: make([]Offer, n), usable: make([]bool, n), domain: make([]int, n), first: make([]int, n),
 		last: make([]int, n), only: map[string]Range{},
 	}
@@ -214,7 +215,7 @@
 	return s
 }
 
-func (s *search) run() {
+func (s *domainSearch) run() {
 	s.arrivals = s.arrivals[:0]
 	for i := range s.best {
 		s.best[i] = [2]int{none, none}
@@ -234,7 +235,7 @@
 
 // begin takes the hop that the route is to begin with, and returns its bound; the
 // last bound if it holds its layers no more.
-func (s *search) begin() int {
+func (s *domainSearch) begin() int {
 	i, ok := s.m.byName[s.q.Begin.Endpoint]
 	b, found := slices.BinarySearch(s.m.bounds, s.q.Begin.Layers.To)
 	if !ok || !found || !s.m.holdings[i].Layers.Covers(s.q.Begin.Layers) {
@@ -246,7 +247,7 @@
 }
 
 // extend runs layers from bound a on with holding i.
-func (s *search) extend(a, i int) {
+func (s *domainSearch) extend(a, i int) {
 	h := &s.m.holdings[i]
 	before, cost := s.enter(a, i)
 	if before == none && a > 0 || a == 0 && s.q.First != nil && !s.q.First(h) {
@@ -267,7 +268,7 @@
 }
 
 // enter returns the cheapest arrival at bound a from which holding i may go on.
-func (s *search) enter(a, i int) (before int, cost float64) {
+func (s *domainSearch) enter(a, i int) (before int, cost float64) {
 	if a == 0 {
 		return none, 0
 	}
@@ -291,7 +292,7 @@
 }
 
 // arrive takes a way to reach a bound, if it is one of the two cheapest.
-func (s *search) arrive(b int, a arrival) {
+func (s *domainSearch) arrive(b int, a arrival) {
 	best := &s.best[b*s.domains+s.domain[a.holding]]
 	switch {
 	case best[0] == none || s.arrivals[best[0]].holding == a.holding:
@@ -310,7 +311,7 @@
 	s.arrivals = append(s.arrivals, a)
 }
 
-func (s *search) cheapest(b int) int {
+func (s *domainSearch) cheapest(b int) int {
 	least := none
 	for d := range s.domains {
 		if n := s.best[b*s.domains+d][0]; n != none && (least == none || s.arrivals[n].cost < s.arrivals[least].cost) {
@@ -321,7 +322,7 @@
 }
 
 // trace follows the arrivals back from the last one.
-func (s *search) trace(last int) Route {
+func (s *domainSearch) trace(last int) Route {
 	r := Route{Model: s.m.model, Version: s.m.version}
 	b := s.m.layers
 	for n := last; n != none; n = s.arrivals[n].before {
