--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,104 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bulrushshed/feed"
+	"bulrushshed/keys"
+	"bulrushshed/peer"
+)
+
+// members are the pins that all nodes of a test trust.
+type members struct {
+	mu   sync.Mutex
+	pins map[string]bool
+}
+
+func (m *members) trusts(pin string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pins[pin]
+}
+
+func (m *members) add(pin string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pins[pin] = true
+}
+
+// echo answers questions with the offset that they come from.
+type echo struct{}
+
+func (echo) Handle(_ context.Context, m peer.Message) peer.Reply {
+	return peer.Reply{Feed: &feed.Answer{Host: "echo", Page: feed.Page{Next: m.Feed.Next}}}
+}
+
+// serve starts a node at an address that serves until the test ends.
+func serve(t *testing.T, m *members, address string) (n *peer.Node, pin string) {
+	t.Helper()
+	cfg, pin, err := keys.Pinned("entry", time.Now(), m.trusts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err = peer.NewNode(peer.Options{Address: address, Timeout: 5 * time.Second, MaxBytes: 1 << 20}, cfg, echo{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := n.Serve(ctx)
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return n, pin
+}
+
+func ask(t *testing.T, n *peer.Node, address string) (next int64, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	r, err := n.Call(ctx, address, peer.Message{Kind: peer.KindFeed, Feed: &feed.Ask{Next: 7}})
+	if err != nil {
+		return 0, err
+	}
+	return r.Feed.Page.Next, nil
+}
+
+// Hosts without a CA answer those whose pins they trust, and nobody else; a host that
+// becomes a member is let in.
+func TestPinnedHostsAnswerMembersOnly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	m := &members{pins: map[string]bool{}}
+	const address = "127.0.9.1:7340"
+	_, server := serve(t, m, address)
+	client, pin := serve(t, m, "127.0.9.2:7340")
+	m.add(server)
+	_, err := ask(t, client, address)
+	var e *peer.Error
+	is.True(errors.As(err, &e))
+	m.add(pin)
+	next, err := ask(t, client, address)
+	is.NoErr(err)
+	is.Equal(next, int64(7))
+}
+
+// A node that would verify nobody does not open.
+func TestANodeVerifiesItsPeers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	cfg, _, err := keys.Pinned("entry", time.Now(), func(string) bool { return true })
+	is.NoErr(err)
+	cfg.VerifyConnection = nil
+	_, err = peer.NewNode(peer.Options{Address: "127.0.9.3:7340"}, cfg, echo{}, slog.New(slog.DiscardHandler))
+	is.True(err != nil)
+}
