Send no events behind a head that was dropped

When the deadline, a look at the engines and the head of an answer come at once, attempt.run dropped the head for the deadline and read on, and the stream, which was looking, took the first event for the head.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -71,15 +71,16 @@
 	}
 	n := news{answer: answer}
 	n.event.err = err
+	if answer != nil {
+		defer func() { _ = answer.Body.Close() }()
+	}
 	select {
 	case a.news <- n:
 	case <-ctx.Done():
-	}
-	if err != nil {
+		// Events must not come in place of the head.
 		return
 	}
-	defer func() { _ = answer.Body.Close() }()
-	if failed || answer.NotRun {
+	if err != nil || failed || answer.NotRun {
 		return
 	}
 	readEvents(ctx, answer.Body, a.news)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -115,6 +115,34 @@
 	}
 }
 
+// An answer that comes in the moment in which its request's time is over, and in which
+// the engines are looked at, ends the request: events never come without their head. On
+// a host that was frozen all of this happens at once.
+func TestAnAnswerAtTheDeadline(t *testing.T) {
+	t.Parallel()
+	// The second look comes then.
+	const patience = 300 * time.Millisecond
+	for range 400 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(10)
+			req := request("stream")
+			req.Patience = patience
+			late := func(forward.Send) (*forward.Answer, error) {
+				time.Sleep(patience - time.Since(req.Arrived))
+				return whole(200, "id: 1\ndata: t\n\nid: 2\ndata: t\n\n"), nil
+			}
+			w.upstream.answers["e0"] = late
+			w.upstream.answers["e1"] = late
+			resp := w.forwarder.Do(t.Context(), req)
+			if _, err := io.ReadAll(resp.Body); resp.Status != 200 && resp.Status != 504 {
+				t.Errorf("got status %d (%v), want 200 or 504", resp.Status, err)
+			}
+			_ = resp.Body.Close()
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // The first engine breaks the stream off: it goes on behind the last event at
 // another one.
 func TestAStreamGoesOnBehindTheLastEvent(t *testing.T) {
