Keep no full engines among the few that are searched

Cause, seen in a last reading: an engine whose KV cache can't take a stream through all its layers has no price, and that counted as nothing, so that in domains of more than 64 engines full ones were the first to be kept, and the search of all engines ran behind.

Test: TestFullHoldingsAreNotKept, seen to fail before.

--- a/route/cheapest.go
+++ b/route/cheapest.go
@@ -115,7 +115,7 @@
 }
 
 // Narrow returns the map with those holdings only that are among the cheapest few of
-// some layer that they hold.
+// some layer that they hold, if they can be run whole.
 func (m *Map) Narrow(q Query, few int) *Map {
 	type offered struct {
 		holding int
@@ -124,8 +124,8 @@
 	var all []offered
 	for i := range m.holdings {
 		h := &m.holdings[i]
-		if o, ok := q.Offer(h); ok {
-			price, _ := o.Price(h.Layers)
+		o, ok := q.Offer(h)
+		if price, fits := o.Price(h.Layers); ok && fits {
 			all = append(all, offered{holding: i, price: price / float64(h.Layers.Len())})
 		}
 	}
--- a/route/cheapest_test.go
+++ b/route/cheapest_test.go
@@ -159,6 +159,32 @@
 	})
 }
 
+// Full holdings are not taken for cheap ones.
+func TestFullHoldingsAreNotKept(t *testing.T) {
+	t.Parallel()
+	var all []route.Holding
+	for i := range 6 {
+		all = append(all, route.Holding{Endpoint: fmt.Sprint("e", i), FailureDomain: "a", Model: "m", Version: "1", Layers: route.Range{To: 4}})
+	}
+	full := func(h *route.Holding) bool { return h.Endpoint < "e3" }
+	q := route.Query{Offer: func(h *route.Holding) (route.Offer, bool) {
+		o := route.Offer{Layer: 1, Used: 0.5, More: 0.01, Limit: 1}
+		if full(h) {
+			o.Used = 1
+		}
+		return o, true
+	}}
+	narrow := route.NewMap("m", "1", 4, all).Narrow(q, 2)
+	if narrow.Len() != 2 {
+		t.Fatalf("got %d holdings, want 2", narrow.Len())
+	}
+	for _, h := range narrow.Holdings() {
+		if full(&h) {
+			t.Errorf("got the full holding %s", h.Endpoint)
+		}
+	}
+}
+
 // Few of many holdings give a route that is nearly as cheap, and lose none that all
 // of them have while each layer has a holding that takes the stream.
 func TestFewHoldingsAreEnough(t *testing.T) {
