Read the store again soon behind a cut

Now at most 1.05 s lie between reads that fail (feed.Backoff), they do not wait in the store while it does not answer, so that one that hangs ends in 0.8 s, and a question to the reader ends when the next read is due. It costs more calls in an outage.

Tests: TestReadsThatFailAreSpaced; TestReadsDoNotWaitInAStoreThatIsAway failed before.

--- a/daemon/hosted/feed_test.go
+++ b/daemon/hosted/feed_test.go
@@ -85,3 +85,21 @@
 	f.serves(t, "k3", cut)
 	is.New(t).Equal(first(cut.ask(t, "GET", "/stock/1", "k2")), 401)
 }
+
+// While the store does not answer, reads do not wait there for news: one that hangs
+// would keep the host from the next for long.
+func TestReadsDoNotWaitInAStoreThatIsAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	f.serves(t, "k1", h)
+	f.store.setDown(true)
+	await(t, "refusal", func() bool { return first(h.ask(t, "GET", "/stock/1", "k1")) == 503 })
+	before := len(h.door.reads())
+	await(t, "more reads", func() bool { return len(h.door.reads()) >= before+4 })
+	for _, wait := range h.door.reads()[before:] {
+		is.New(t).Equal(wait, "0")
+	}
+	f.store.setDown(false)
+	f.serves(t, "k1", h)
+}
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"bulrushshed/feed"
@@ -16,12 +15,8 @@
 	// the second the time in which a silent connection is noticed.
 	configWait   = 1500 * time.Millisecond
 	replicasWait = 2 * time.Second
-	// failPause is the pause behind a read that failed; it doubles with each
-	// further one up to maxFailPause, or to fedFailPause on a host that another
-	// one feeds, and varies by half.
-	failPause    = 100 * time.Millisecond
-	maxFailPause = 500 * time.Millisecond
-	fedFailPause = 2 * time.Second
+	// feedPause is the pause behind another host's answer that was of no use.
+	feedPause = 100 * time.Millisecond
 	// meetWait bounds how long a host that has just started waits before it
 	// reads on.
 	meetWait = 600 * time.Millisecond
@@ -52,10 +47,10 @@
 	host *Host
 	// next is the offset to read on from; -1 for the newest of each key.
 	next int64
-	// connected is whether the last read of the store succeeded, pause the one
-	// behind the next read that fails, and retry when the store is read again.
+	// connected is whether the last read of the store succeeded, backoff spaces
+	// those that fail, and retry is when the store is read again.
 	connected bool
-	pause     time.Duration
+	backoff   feed.Backoff
 	retry     time.Time
 	// source names the host that feeds this one, or did last; proof is the
 	// newest one by that host's clock, and offset compares the clocks.
@@ -74,7 +69,7 @@
 // follow reads a topic's newest records and then its changes, until ctx ends.
 func (h *Host) follow(ctx context.Context, f follower) <-chan error {
 	done := make(chan error, 1)
-	c := &cursor{follower: f, host: h, next: -1, connected: true, pause: failPause}
+	c := &cursor{follower: f, host: h, next: -1, connected: true}
 	go func() {
 		defer func() { done <- nil }()
 		for ctx.Err() == nil {
@@ -85,15 +80,17 @@
 }
 
 // step takes news from another host, or from the store. While neither of the two
-// can be read, the store is read seldom, and the other host is asked to tell when it
-// is back.
+// can be read, the store is read seldom, and the other host is asked in between to
+// tell when it is back.
 func (c *cursor) step(ctx context.Context) {
 	now := time.Now()
 	from, fed := c.host.group.source()
 	switch {
 	case fed && !c.connected && now.Before(c.retry):
-		if !c.feed(ctx, from) {
-			pause(ctx, failPause)
+		ask, cancel := context.WithDeadline(ctx, c.retry)
+		defer cancel()
+		if !c.feed(ask, from) {
+			pause(ask, feedPause)
 		}
 		return
 	case fed && c.connected && (from.Name != c.avoided || now.After(c.rest)):
@@ -104,17 +101,14 @@
 		return
 	}
 	if c.read(ctx) {
-		c.pause = failPause
+		c.backoff.Succeeded()
 		return
 	}
-	wait := c.pause/2 + rand.N(c.pause)
+	wait := c.backoff.Failed(fed)
 	c.retry = time.Now().Add(wait)
-	if fed {
-		c.pause = min(2*c.pause, fedFailPause)
-		return
+	if !fed {
+		pause(ctx, wait)
 	}
-	c.pause = min(2*c.pause, maxFailPause)
-	pause(ctx, wait)
 }
 
 // feed takes news from a host that reads the store, and reports whether it could.
@@ -162,7 +156,9 @@
 	switch {
 	case c.next < 0:
 		p, err = c.host.store.Newest(c.topic)
-	case c.hurry:
+	case c.hurry || !c.connected:
+		// A store that is back answers at once, and one that is not must not
+		// hold this host up.
 		p, err = c.host.store.Read(c.topic, c.next, 0)
 	default:
 		p, err = c.host.store.Read(c.topic, c.next, c.wait)
--- a/daemon/hosted/standin_test.go
+++ b/daemon/hosted/standin_test.go
@@ -44,12 +44,15 @@
 	mu sync.Mutex
 	// silent ways let calls through, but no answers.
 	silent bool
+	// waits are how long the store was to hold each read, in ms.
+	waits []string
 }
 
 // newDoor opens one more way to the store.
 func (s *store) newDoor(t *testing.T) *door {
 	d := &door{}
 	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.read(r.URL.Query().Get("wait_ms"))
 		held := httptest.NewRecorder()
 		s.server.Config.Handler.ServeHTTP(held, r)
 		d.mu.Lock()
@@ -66,6 +69,21 @@
 	return d
 }
 
+func (d *door) read(wait string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if wait != "" {
+		d.waits = append(d.waits, wait)
+	}
+}
+
+// reads returns how long the store was to hold each read, in ms.
+func (d *door) reads() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.waits)
+}
+
 func (d *door) address() string { return strings.TrimPrefix(d.server.URL, "http://") }
 
 func (d *door) silence(silent bool) {
