One pause for both dialects, and one logger without a wrapper

daemon and daemon/hosted each had the same wait for a time or the end of a context; it is loop.Pause now. daemon.Logger, which only passed its arguments on since settings makes the loggers, is gone. No change in behaviour; the tests of loop, daemon and daemon/hosted, the linter and the check of names passed.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushshed/feed"
+	"bulrushshed/loop"
 	"bulrushshed/platform"
 )
 
@@ -90,7 +91,7 @@
 		ask, cancel := context.WithDeadline(ctx, c.retry)
 		defer cancel()
 		if !c.feed(ask, from) {
-			pause(ask, feedPause)
+			loop.Pause(ask, feedPause)
 		}
 		return
 	case fed && c.connected && (from.Name != c.avoided || now.After(c.rest)):
@@ -107,7 +108,7 @@
 	wait := c.backoff.Failed(fed)
 	c.retry = time.Now().Add(wait)
 	if !fed {
-		pause(ctx, wait)
+		loop.Pause(ctx, wait)
 	}
 }
 
@@ -170,7 +171,7 @@
 	}
 	c.take(p, c.next < 0, sent, true)
 	if c.gather > 0 && len(p.Changes) > 0 {
-		pause(ctx, c.gather)
+		loop.Pause(ctx, c.gather)
 	}
 	c.meet(ctx)
 	return true
@@ -218,12 +219,3 @@
 	c.host.feeder.log.Lose(c.topic)
 	c.lost()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -88,11 +88,11 @@
 	done := make(chan error, 1)
 	go func() {
 		for t, _ := g.host.Table(); t == nil && ctx.Err() == nil; t, _ = g.host.Table() {
-			pause(ctx, servePoll)
+			loop.Pause(ctx, servePoll)
 		}
 		g.join()
 		// Hosts that started together have joined by then.
-		pause(ctx, meetTime)
+		loop.Pause(ctx, meetTime)
 		g.keep(ctx)
 		close(g.met)
 		done <- <-loop.Every(ctx, joinEvery, g.keep)
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -6,6 +6,7 @@
 
 	"bulrushshed/directory"
 	"bulrushshed/hostlog"
+	"bulrushshed/loop"
 	"bulrushshed/peer"
 )
 
@@ -27,7 +28,7 @@
 		if seeds := d.cfg.SeedPeers; len(seeds) > 0 {
 			d.askSeed(ctx, seeds[n%len(seeds)])
 		}
-		pause(ctx, joinEvery)
+		loop.Pause(ctx, joinEvery)
 	}
 }
 
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -9,6 +9,7 @@
 	"bulrushshed/claim"
 	"bulrushshed/delivery"
 	"bulrushshed/hostlog"
+	"bulrushshed/loop"
 	"bulrushshed/outcome"
 	"bulrushshed/publication"
 )
@@ -51,22 +52,13 @@
 			if b, ok := d.journal.Next(); ok {
 				d.appendBatch(b)
 			}
-			pause(ctx, journalEvery+journalShare*time.Duration(len(d.directory.View().Entries)))
+			loop.Pause(ctx, journalEvery+journalShare*time.Duration(len(d.directory.View().Entries)))
 		}
 		done <- nil
 	}()
 	return done
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // appendBatch appends a batch; one whose answer was lost is appended again,
 // which the ledgers take for the same.
 func (d *Daemon) appendBatch(b claim.Batch) bool {
@@ -96,7 +88,7 @@
 		if ok && d.appendBatch(b) && b.Settled {
 			return
 		}
-		pause(ctx, drainPoll)
+		loop.Pause(ctx, drainPoll)
 	}
 	d.log.Warn("daemon: journal not settled", "pending", d.journal.Pending())
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -69,12 +69,7 @@
 
 func newLogger(i do.Injector) (*slog.Logger, error) {
 	cfg := do.MustInvoke[settings.Settings](i)
-	return Logger(cfg.Log, cfg.Name), nil
-}
-
-// Logger returns a logger to standard error whose lines name the host.
-func Logger(cfg settings.Log, host string) *slog.Logger {
-	return cfg.Logger(os.Stderr, host, cfg.SlogLevel())
+	return cfg.Log.Logger(os.Stderr, cfg.Name, cfg.Log.SlogLevel()), nil
 }
 
 func newDaemon(i do.Injector) (*Daemon, error) {
