forward, platform: log the prompt parts of failed streams

The logs could not tell what requests that crash engines have in common (hypotheses 1 and 2 of docs/incidents/2026-12-04-crashing-requests.md), nor how a stream broke.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,6 +30,8 @@
 	headReceived bool
 	answered     bool
 	events       int
+	// err is the error with which the answer broke off, or nil.
+	err error
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
 	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
@@ -108,6 +110,7 @@
 		return causeNotSent
 	}
 	if u.event.err != nil {
+		a.err = u.event.err
 		s.markMayHaveRun(a.first)
 		return "broken_answer"
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -219,6 +219,9 @@
 // finish logs and counts the outcome of a request.
 func (c *call) finish(kind outcome.Kind, cause string, more ...any) {
 	took := time.Since(c.req.Arrived)
+	if kind != outcome.Answered && len(c.req.SharedParts) > 0 {
+		more = append(more, "parts", formatParts(c.req.SharedParts))
+	}
 	c.f.Counter.RequestDone(c.customer, c.rule.Name, kind, outcome.Cause(cause), took)
 	c.f.Log.Info("forward: request ended", append([]any{
 		"request", c.req.ID, "rule", c.rule.Name, "customer", c.customer, "outcome", string(kind), "cause", cause,
--- a/forward/request.go
+++ b/forward/request.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/ingress"
 	"bulrushshed/replica"
 	"bulrushshed/route"
@@ -38,10 +41,18 @@
 	PromptTokens int
 	MaxTokens    int
 	HintTokens   int
+	// SharedParts identifies the parts of the prompt that other requests may share, in
+	// order. The last part of a prompt is the request's own and is not included.
+	SharedParts []uint64
 	// Arrived is when the request was read.
 	Arrived time.Time
 }
 
+// formatParts formats prompt parts for a log line.
+func formatParts(parts []uint64) []string {
+	return lo.Map(parts, func(part uint64, _ int) string { return strconv.FormatUint(part, 16) })
+}
+
 // Response is the response to a caller.
 type Response struct {
 	Status int
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -236,6 +236,7 @@
 		return e, ""
 	}
 	if e.err != nil {
+		s.attempt.err = e.err
 		return event{}, "broken_stream"
 	}
 	if !e.hasID {
@@ -267,7 +268,7 @@
 	}
 	s.f.Counter.Resumed(resumeCause)
 	s.f.Log.Info("forward: attempt failed, resuming stream", "request", s.req.ID, "cause", resumeCause, "replica", broken.first.ID,
-		"last_event", s.lastID, "sends", s.sends, "ran", len(s.ran))
+		"last_event", s.lastID, "sends", s.sends, "ran", len(s.ran), "events", broken.events, "error", errorText(broken.err), "parts", formatParts(s.req.SharedParts))
 	for {
 		cause = s.startAttempt()
 		if cause != causeNoPath && cause != causeBudget || !s.canAwaitPath() {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -1,11 +1,13 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"iter"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
@@ -499,3 +501,26 @@
 	}
 	return b.String()
 }
+
+// The logs must tell which prompt parts the failed requests have in common.
+func TestFailedStreamIsLoggedWithItsPromptParts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10)
+		var lines bytes.Buffer
+		f.forwarder.Log = slog.New(slog.NewTextHandler(&lines, nil))
+		for _, engine := range []string{"e0", "e1"} {
+			f.upstream.answers[engine] = func(forward.Send) (*forward.UpstreamResponse, error) { return nil, errors.New("connection reset") }
+		}
+		req := request("stream")
+		req.SharedParts = []uint64{0xa1, 0x2b}
+		is.Equal(f.forwarder.Do(t.Context(), req).Status, http.StatusBadGateway)
+		for _, message := range []string{"forward: attempt failed, resuming stream", "forward: request ended"} {
+			i := strings.Index(lines.String(), message)
+			is.True(i >= 0)
+			line, _, _ := strings.Cut(lines.String()[i:], "\n")
+			is.True(strings.Contains(line, "parts=\"[a1 2b]\""))
+		}
+	})
+}
