forward: failing test of requests that crash engines

In one process, with fake engines and synctest: every request with one prompt part crashes the engine that it starts at, and engines are back after 3 s. More than three such requests reach engines later than the stability window after the fifth crash.

--- /dev/null
+++ b/forward/crash_test.go
@@ -0,0 +1,90 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bulrushshed/forward"
+)
+
+// crashes is a prompt part that crashes each engine that begins to answer a request
+// with it. Engines are back after restartTime.
+type crashes struct {
+	part uint64
+
+	mu sync.Mutex
+	// at has the time of each crash, which is also that of each send of a request
+	// with the part.
+	at []time.Time
+}
+
+const restartTime = 3 * time.Second
+
+// crash takes the engine at an address down and returns its broken answer.
+func (c *crashes) crash(u *upstream, address string) *forward.UpstreamResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = append(c.at, time.Now())
+	u.takeDown(address)
+	time.AfterFunc(restartTime, func() { u.bringUp(address) })
+	out, in := io.Pipe()
+	_ = in.CloseWithError(io.ErrUnexpectedEOF)
+	return &forward.UpstreamResponse{Status: 200, Body: out, Signed: true}
+}
+
+// sentAfter returns how many requests with the part engines received later than a
+// time after the n-th crash.
+func (c *crashes) sentAfter(n int, after time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.at) < n {
+		return 0
+	}
+	count := 0
+	for _, at := range c.at {
+		if at.Sub(c.at[n-1]) > after {
+			count++
+		}
+	}
+	return count
+}
+
+// Requests with a part that crashes engines keep arriving beside sound ones with the
+// same key and first part.
+func TestRequestsThatCrashEnginesAreContained(t *testing.T) {
+	t.Parallel()
+	const (
+		stabilityWindow = 3 * time.Second
+		engines         = 30
+		common, deadly  = 0xa1, 0xdead
+		rounds          = 100
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1000)
+		f.replaceEngines(engines)
+		c := &crashes{part: deadly}
+		f.upstream.crashing = c
+		served := 0
+		for i := range rounds {
+			bad := request("stream")
+			bad.ID, bad.SharedParts = fmt.Sprint("bad-", i), []uint64{common, deadly}
+			resp := f.forwarder.Do(t.Context(), bad)
+			_ = resp.Body.Close()
+			sound := request("stream")
+			sound.ID, sound.SharedParts = fmt.Sprint("sound-", i), []uint64{common}
+			if ids, err := readEvents(t, f.forwarder.Do(t.Context(), sound)); err == nil && len(ids) == eventCount {
+				served++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(c.sentAfter(5, stabilityWindow) <= 3)
+		is.Equal(served, rounds)
+	})
+}
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -135,8 +135,10 @@
 	mu sync.Mutex
 	// down has engines that do not answer and that stall the streams through them.
 	down map[string]bool
-	// answers overrides how a replica answers a request.
+	// answers overrides how a replica answers a request, and crashing how an engine
+	// does.
 	answers    map[string]func(forward.Send) (*forward.UpstreamResponse, error)
+	crashing   *crashes
 	sends      []forward.Send
 	repaths    int
 	repathedAt time.Time
@@ -159,6 +161,7 @@
 	u.sends = append(u.sends, s)
 	answer := u.answers[s.Replica.Address]
 	down := u.down[s.Replica.Address]
+	crashing := u.crashing
 	u.mu.Unlock()
 	switch {
 	case down:
@@ -167,6 +170,8 @@
 		return answer(s)
 	case len(s.Path.Hops) == 0:
 		return answerWith(200, "ok"), nil
+	case crashing != nil && slices.Contains(s.Request.SharedParts, crashing.part):
+		return crashing.crash(u, s.Replica.Address), nil
 	}
 	return u.stream(ctx, s), nil
 }
@@ -250,6 +255,13 @@
 	u.down[address] = true
 }
 
+// bringUp makes an engine that was taken down answer again.
+func (u *upstream) bringUp(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.down, address)
+}
+
 func (u *upstream) sent() []forward.Send {
 	u.mu.Lock()
 	defer u.mu.Unlock()
