quarantine: refuse requests with a prompt part that crashes engines

Cause: a host treated each crash as the engine's own. The stream was resumed at another engine, its caller repeated it, and the next request with the same part was sent as if nothing had been seen; each engine that came back was crashed again. Class of fault: a retry policy that takes every failure for the server's, so that a request that causes failures is spread over all servers.

Why this works: an engine that crashes as it begins an answer accuses the parts of that prompt, but for those with which answers succeed; accused parts are held, successes clear them, and after a hold that grows one request is tried. Only a crash counts: an engine whose answer broke off is checked first. Sound requests with some of the parts are served, or tried at once if their outcome tells the parts apart.

Each host still learns by itself.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 # The packages with state shared between goroutines, tested with the race detector.
 shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
-	./ingress ./ingresshttp ./peer ./pipeline ./publication ./replica
+	./ingress ./ingresshttp ./peer ./pipeline ./publication ./quarantine ./replica
 
 .PHONY: build demo up test race lint prove bench fuzz hosted
 
@@ -47,6 +47,7 @@
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
 	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
+	go test ./quarantine -run xxx -fuzz FuzzParseItem -fuzztime 20s
 
 # Builds the binary for the users' platform, as deploy/system.toml does.
 hosted:
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -35,7 +35,7 @@
 type controller struct {
 	host *Host
 	// pending holds the orders whose result the replica list does not show yet, by
-	// the engine's ID and start time.
+	// the engine's incarnation.
 	pending map[string]pendingOrder
 	// fleets holds the state of each service's engines. It is cleared when this
 	// host does not hold the lease.
@@ -84,8 +84,6 @@
 	return now.Sub(f.grewAt) >= settleTime
 }
 
-func engineKey(r replica.Replica) string { return fmt.Sprintf("%s/%d", r.ID, r.Started) }
-
 // placeAll assigns layers to the free engines of all models, which hold none,
 // and moves engines to layers that too few engines hold. Unless this host holds
 // the lease, it only clears the state of the fleets.
@@ -142,7 +140,7 @@
 		}
 	}
 	assignment, ok := control.Repair(s.Model, placements, func(id string) bool {
-		_, pending := c.pending[engineKey(byID[id])]
+		_, pending := c.pending[byID[id].Incarnation()]
 		return !pending
 	})
 	due := f.repairTimer.Observe(ok, v.LastRemoved(s.Name), now)
@@ -171,11 +169,11 @@
 		return control.Placement{}, false
 	}
 	p = control.Placement{ID: r.ID, FailureDomain: r.FailureDomain, Accelerator: acc, Layers: r.Layers}
-	order, pending := c.pending[engineKey(r)]
+	order, pending := c.pending[r.Incarnation()]
 	switch {
 	case !pending:
 	case r.Layers == order.layers || now.Sub(order.sentAt) > pendingOrderTTL:
-		delete(c.pending, engineKey(r))
+		delete(c.pending, r.Incarnation())
 	default:
 		p.Layers = order.layers
 	}
@@ -191,7 +189,7 @@
 	report, err := c.host.replicaClient.Report(reportCtx, r)
 	if err != nil {
 		c.host.log.Warn("control: reading an engine's report failed, engine not moved", "replica", r.ID, "cause", err.Error())
-		c.pending[engineKey(r)] = pendingOrder{layers: r.Layers, sentAt: time.Now()}
+		c.pending[r.Incarnation()] = pendingOrder{layers: r.Layers, sentAt: time.Now()}
 		return
 	}
 	if report.Busy {
@@ -228,7 +226,7 @@
 	if errors.As(err, &e) && e.Kind == platform.KindFenced {
 		c.rejectedFence = fence
 	}
-	c.pending[engineKey(r)] = pendingOrder{layers: layers, sentAt: time.Now()}
+	c.pending[r.Incarnation()] = pendingOrder{layers: layers, sentAt: time.Now()}
 }
 
 // sendOrder sends one order if this host still holds the lease under the same
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -18,6 +18,7 @@
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
 	"bulrushshed/platform"
+	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 	"bulrushshed/settings"
 )
@@ -69,6 +70,7 @@
 	replicas      *replica.List
 	picker        *replica.Picker
 	planner       *pipeline.Planner
+	quarantine    *quarantine.Tracker
 	group         *group
 	feed          *relay
 	meter         *meter.Meter
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -16,6 +16,7 @@
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
 	"bulrushshed/platform"
+	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 	"bulrushshed/settings"
 )
@@ -51,10 +52,12 @@
 	}
 	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.group.localSize})
 	h.controller = newController(h)
+	h.quarantine = quarantine.New(quarantine.Options{Publish: func(quarantine.Finding) {}, Log: h.log})
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, countingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
+		Quarantine: h.quarantine,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * retryBudgetFraction, Extra: cfg.RetryExtra * retryBudgetFraction, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
 			StartedAt: time.Now(),
@@ -109,5 +112,6 @@
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.inFlight.Load()) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
+	h.meter.Gauge("bulrushshed_quarantined_prompt_parts", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.logWriter.dropped.Load()) })
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,10 @@
 	events       int
 	// err is the error with which the answer broke off, or nil.
 	err error
+	// beganAt is when the first event was received, or zero. proven is set once the
+	// engine has outlived the beginning of the answer.
+	beganAt time.Time
+	proven  bool
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
 	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
@@ -112,7 +116,7 @@
 	if u.event.err != nil {
 		a.err = u.event.err
 		s.markMayHaveRun(a.first)
-		return "broken_answer"
+		return causeBrokenAnswer
 	}
 	if u.answer.NotRun {
 		s.suspectRefusing(u.answer, a.first)
--- a/forward/checker.go
+++ b/forward/checker.go
@@ -96,6 +96,23 @@
 	return down >= minDownEngines && down > downToUpRatio*up
 }
 
+// confirmDown checks an engine whose answer broke off, unless it is known to be down
+// already, and reports whether it is down.
+func (c *checker) confirmDown(f *Forwarder, r replica.Replica, requestID string) bool {
+	if !c.knownDown(r.Address, time.Now()) {
+		c.probe(f, r, requestID)
+	}
+	return c.knownDown(r.Address, time.Now())
+}
+
+// knownDown reports whether a recent check has found an engine down.
+func (c *checker) knownDown(address string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, ok := c.results[address]
+	return ok && result.down && now.Sub(result.at) <= stalledResultTTL && !c.hostIsolated(now)
+}
+
 // probe checks one engine; it returns within checkTimeout.
 func (c *checker) probe(f *Forwarder, r replica.Replica, requestID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -15,6 +15,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
+	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 	"bulrushshed/route"
 )
@@ -100,6 +101,9 @@
 		Tables: f.tables, Replicas: f.replicas, Picker: replica.NewPicker("a"),
 		Planner:  pipeline.NewPlanner(pipeline.Options{FailureDomain: "a", LocalHosts: hosts}),
 		Progress: pipeline.NewProgressTracker(),
+		Quarantine: quarantine.New(quarantine.Options{
+			Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
+		}),
 		Upstream: f.upstream,
 		Budget:   forward.NewBudget(forward.BudgetOptions{Extra: budget, Window: 10 * time.Second, Hosts: hosts}),
 		Counter:  meter.New(10, 10), Log: slog.New(slog.DiscardHandler),
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/outcome"
 	"bulrushshed/pipeline"
+	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 )
 
@@ -62,10 +63,12 @@
 	Picker   *replica.Picker
 	Planner  *pipeline.Planner
 	Progress *pipeline.ProgressTracker
-	Upstream Upstream
-	Budget   *Budget
-	Counter  Counter
-	Log      *slog.Logger
+	// Quarantine tracks the prompt parts that crash engines.
+	Quarantine *quarantine.Tracker
+	Upstream   Upstream
+	Budget     *Budget
+	Counter    Counter
+	Log        *slog.Logger
 }
 
 // Forwarder serves requests of callers. It is safe for concurrent use.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -41,6 +41,12 @@
 	causeRefused = "not_run"
 	// causeNotSent means that the replica received nothing.
 	causeNotSent = "not_sent"
+	// causeBroken means that an answer broke off, and causeBrokenAnswer that it did so
+	// before its first event.
+	causeBroken       = "broken_stream"
+	causeBrokenAnswer = "broken_answer"
+	// causeQuarantined means that a part of the prompt may crash engines.
+	causeQuarantined = "quarantined"
 )
 
 // stream is a request that is answered by events. It is used by one goroutine at a
@@ -72,6 +78,8 @@
 	// pending are bytes that Read has not returned yet.
 	pending []byte
 	ended   bool
+	// quarantinedFor is how long the prompt of the stream is held, if it is.
+	quarantinedFor time.Duration
 	// firstEventLatency is the time until the first event, maxGap the longest
 	// pause between later ones, and lastEventAt the time of the last event.
 	firstEventLatency time.Duration
@@ -102,9 +110,13 @@
 		c.finish(outcome.Answered, "failed_by_replica")
 		return responseFrom(s.failure)
 	}
-	if cause == causeNoPath && !c.mayHaveRun {
+	switch {
+	case c.mayHaveRun:
+	case cause == causeNoPath:
 		s.logUnservedLayer()
 		return c.refuse(cause, randomDuration(minRetryAfter, maxRetryAfter))
+	case cause == causeQuarantined:
+		return c.refuse(cause, s.quarantinedFor)
 	}
 	return c.giveUp(cause)
 }
@@ -173,7 +185,7 @@
 	case len(s.ran) > 0 && !s.rule.Resumable:
 		return "not_resumable"
 	}
-	return ""
+	return s.whyQuarantined()
 }
 
 // tokens returns the expected length of prompt and answer together.
@@ -226,18 +238,19 @@
 // attempt failed, or is "".
 func (s *stream) handleUpdate(u update, open bool) (e event, cause string) {
 	if !open {
-		return event{}, "broken_stream"
+		return event{}, causeBroken
 	}
 	if !s.attempt.answered {
 		return event{}, s.handleHead(u)
 	}
 	e = u.event
 	if errors.Is(e.err, io.EOF) {
+		s.recordSuccess()
 		return e, ""
 	}
 	if e.err != nil {
 		s.attempt.err = e.err
-		return event{}, "broken_stream"
+		return event{}, causeBroken
 	}
 	if !e.hasID {
 		return event{}, "not_an_event"
@@ -246,6 +259,7 @@
 	s.attempt.progress.RecordEvent(now)
 	s.attempt.stallChecks = 0
 	s.attempt.events++
+	s.observeBeginning(now)
 	s.rerouteOffDraining(now)
 	if e.id <= s.lastID {
 		return event{}, ""
@@ -261,6 +275,7 @@
 // It returns why it could not, or "".
 func (s *stream) resume(resumeCause string) (cause string) {
 	broken := s.attempt
+	s.observeCrash(resumeCause)
 	s.endAttempt()
 	s.lastFirstHop = broken.first.Address
 	if resumeCause != causeRefused {
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,296 @@
+package quarantine
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+)
+
+const (
+	// firstHold is the hold after a single crash of a part that is not proven.
+	firstHold = 5 * time.Second
+	// repeatedHold is the hold after the second crash. It grows by holdGrowth with each
+	// further one, up to maxHold.
+	repeatedHold = 30 * time.Second
+	holdGrowth   = 4
+	maxHold      = 10 * time.Minute
+	// provenCrashLimit is the number of crashes from which on a part is held although
+	// it is proven.
+	provenCrashLimit = 2
+	// trialInterval is how many requests arrive, on average, for each one that is tried
+	// after a repeated hold. It keeps hosts from trying several at the same moment.
+	trialInterval = 5
+	// trialTimeout is how long a trial counts as running. If it has no result by then,
+	// another request may be tried.
+	trialTimeout = 5 * time.Second
+	// trialRetryAfter is the Retry-After delay while a trial is due or running.
+	trialRetryAfter = 500 * time.Millisecond
+	// maxSuspects limits the parts with findings that are remembered, and maxCrashes
+	// the crashes that are remembered for each.
+	maxSuspects = 1024
+	maxCrashes  = 8
+)
+
+// Options are the settings of a Tracker.
+type Options struct {
+	// Publish sends a finding to the other hosts. It must not block.
+	Publish func(f Finding)
+	Log     *slog.Logger
+}
+
+// Tracker tracks the parts of prompts that may crash engines. It is safe for concurrent
+// use.
+type Tracker struct {
+	opts Options
+
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	proven   provenParts
+}
+
+// suspect is what is known about a part that may have crashed engines.
+type suspect struct {
+	generation int64
+	// crashed has the engines that crashed under the part in this generation, and
+	// others the parts that all of these crashes have in common with it.
+	crashed map[string]bool
+	others  []uint64
+	// changedAt is when this host learned of the last finding.
+	changedAt time.Time
+	heldUntil time.Time
+	// trial is the ID of the request that was tried last, at trialAt.
+	trial   string
+	trialAt time.Time
+}
+
+// New returns a tracker without findings.
+func New(opts Options) *Tracker {
+	return &Tracker{opts: opts, suspects: map[uint64]*suspect{}}
+}
+
+// Decision tells whether a request may be sent to an engine.
+type Decision struct {
+	Admitted bool
+	// RetryAfter is the time after which another attempt makes sense if the request is
+	// not admitted.
+	RetryAfter time.Duration
+}
+
+// Admit decides whether a request with the given parts may be sent to an engine. It
+// must be called before each send.
+func (t *Tracker) Admit(requestID string, parts []uint64, now time.Time) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var trials []*suspect
+	for _, part := range parts {
+		s, held := t.heldSuspect(part, now)
+		if !held {
+			continue
+		}
+		if now.Before(s.heldUntil) && !t.lacksSuspect(s, parts, now) {
+			return Decision{RetryAfter: s.heldUntil.Sub(now)}
+		}
+		if !s.mayTry(requestID, now) {
+			return Decision{RetryAfter: trialRetryAfter}
+		}
+		trials = append(trials, s)
+	}
+	for _, s := range trials {
+		s.trial, s.trialAt = requestID, now
+	}
+	return Decision{Admitted: true}
+}
+
+// heldSuspect returns the record of a part if it has crashed too many engines.
+func (t *Tracker) heldSuspect(part uint64, now time.Time) (s *suspect, held bool) {
+	s, ok := t.suspects[part]
+	if !ok {
+		return nil, false
+	}
+	limit := 1
+	if t.proven.contains(part, now) {
+		limit = provenCrashLimit
+	}
+	return s, len(s.crashed) >= limit
+}
+
+// lacksSuspect reports whether another part that may have caused the crashes of s is
+// missing in a request. If the request's answer succeeds, that part is the cause.
+func (t *Tracker) lacksSuspect(s *suspect, parts []uint64, now time.Time) bool {
+	return slices.ContainsFunc(s.others, func(other uint64) bool {
+		_, held := t.heldSuspect(other, now)
+		return held && !slices.Contains(parts, other)
+	})
+}
+
+// mayTry reports whether a request may be the next trial.
+func (s *suspect) mayTry(requestID string, now time.Time) bool {
+	if s.trial == requestID {
+		return true
+	}
+	if s.trial != "" && now.Sub(s.trialAt) < trialTimeout {
+		return false
+	}
+	return len(s.crashed) <= 1 || now.Before(s.heldUntil) || xxhash.Sum64String(requestID)%trialInterval == 0
+}
+
+// RecordCrash records that an engine crashed as it began to answer a request with the
+// given parts. If some of them are proven and others are not, only the others are
+// suspected.
+func (t *Tracker) RecordCrash(parts []uint64, engine string, now time.Time) {
+	t.mu.Lock()
+	accused := lo.Filter(parts, func(part uint64, _ int) bool { return !t.proven.contains(part, now) })
+	if len(accused) == 0 {
+		accused = parts
+	}
+	var added []Finding
+	for _, part := range accused {
+		f := Finding{Part: part, Generation: t.generation(part), Engine: engine, Others: lo.Without(accused, part)}
+		if t.addCrash(f, now) {
+			added = append(added, f)
+		}
+	}
+	t.mu.Unlock()
+	t.publish(added)
+}
+
+// RecordSuccess records that an engine began to answer a request with the given parts
+// at a time and did not crash. It clears the parts that were suspected before.
+func (t *Tracker) RecordSuccess(parts []uint64, began, now time.Time) {
+	t.mu.Lock()
+	var cleared []Finding
+	for _, part := range parts {
+		t.proven.add(part, now)
+		s, ok := t.suspects[part]
+		if ok && len(s.crashed) > 0 && began.After(s.changedAt) {
+			f := Finding{Part: part, Generation: s.generation}
+			t.clear(f, now)
+			cleared = append(cleared, f)
+		}
+	}
+	t.mu.Unlock()
+	t.publish(cleared)
+}
+
+// Merge records a finding of another host.
+func (t *Tracker) Merge(f Finding, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.Engine == "" {
+		t.clear(f, now)
+		return
+	}
+	t.addCrash(f, now)
+}
+
+// Held returns the number of parts that are held.
+func (t *Tracker) Held(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.CountBy(lo.Keys(t.suspects), func(part uint64) bool {
+		_, held := t.heldSuspect(part, now)
+		return held
+	})
+}
+
+func (t *Tracker) publish(findings []Finding) {
+	for _, f := range findings {
+		t.opts.Publish(f)
+	}
+}
+
+// generation returns the generation to which a new crash under a part belongs.
+func (t *Tracker) generation(part uint64) int64 {
+	if s, ok := t.suspects[part]; ok {
+		return s.generation
+	}
+	return firstGeneration
+}
+
+const firstGeneration = 1
+
+// addCrash adds a crash and reports whether it was new. A crash of a generation that
+// has been cleared is ignored; one of a later generation than known replaces those of
+// the earlier ones.
+func (t *Tracker) addCrash(f Finding, now time.Time) bool {
+	s := t.getOrCreate(f.Part, now)
+	if f.Generation < s.generation || f.Generation == s.generation && s.crashed[f.Engine] {
+		return false
+	}
+	if f.Generation > s.generation {
+		s.reset(f.Generation)
+	}
+	if len(s.crashed) == 0 {
+		s.others = f.Others
+	}
+	s.others = lo.Intersect(s.others, f.Others)
+	for engine := range s.crashed {
+		if len(s.crashed) < maxCrashes {
+			break
+		}
+		delete(s.crashed, engine)
+	}
+	s.crashed[f.Engine] = true
+	s.changedAt = now
+	s.trial = ""
+	s.heldUntil = now.Add(holdTime(len(s.crashed)))
+	_, held := t.heldSuspect(f.Part, now)
+	t.opts.Log.Warn("quarantine: prompt part suspected after an engine crash", "part", formatPart(f.Part), "engine", f.Engine, "crashes", len(s.crashed),
+		"others", len(s.others), "generation", s.generation, "held", held, "hold_ms", s.heldUntil.Sub(now).Milliseconds())
+	return true
+}
+
+// clear ends the generation of a finding, and the earlier ones.
+func (t *Tracker) clear(f Finding, now time.Time) {
+	s := t.getOrCreate(f.Part, now)
+	if f.Generation < s.generation {
+		return
+	}
+	s.reset(f.Generation + 1)
+	s.changedAt = now
+	t.opts.Log.Info("quarantine: prompt part cleared", "part", formatPart(f.Part), "generation", f.Generation)
+}
+
+func (s *suspect) reset(generation int64) {
+	s.generation = generation
+	s.crashed = map[string]bool{}
+	s.others = nil
+	s.trial = ""
+}
+
+// getOrCreate returns the record of a part. If there are too many, the one that changed
+// the longest time ago is forgotten.
+func (t *Tracker) getOrCreate(part uint64, now time.Time) *suspect {
+	s, ok := t.suspects[part]
+	if ok {
+		return s
+	}
+	maps.DeleteFunc(t.suspects, func(_ uint64, s *suspect) bool { return now.Sub(s.changedAt) >= memory })
+	if len(t.suspects) >= maxSuspects {
+		oldest := lo.MinBy(lo.Keys(t.suspects), func(a, b uint64) bool { return t.suspects[a].changedAt.Before(t.suspects[b].changedAt) })
+		delete(t.suspects, oldest)
+	}
+	s = &suspect{generation: firstGeneration, crashed: map[string]bool{}, changedAt: now}
+	t.suspects[part] = s
+	return s
+}
+
+// holdTime returns how long a part is held after the n-th crash.
+func holdTime(n int) time.Duration {
+	if n <= 1 {
+		return firstHold
+	}
+	hold := repeatedHold
+	for range n - provenCrashLimit {
+		hold = min(hold*holdGrowth, maxHold)
+	}
+	return hold
+}
+
+func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
--- /dev/null
+++ b/quarantine/tracker_test.go
@@ -0,0 +1,247 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bulrushshed/quarantine"
+)
+
+const (
+	common = uint64(0xa1)
+	deadly = uint64(0xdead)
+	other  = uint64(0xb2)
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// newTracker returns a tracker that appends what it publishes to findings.
+func newTracker(findings *[]quarantine.Finding) *quarantine.Tracker {
+	return quarantine.New(quarantine.Options{
+		Publish: func(f quarantine.Finding) {
+			if findings != nil {
+				*findings = append(*findings, f)
+			}
+		},
+		Log: slog.New(slog.DiscardHandler),
+	})
+}
+
+func succeed(t *quarantine.Tracker, began time.Time, parts ...uint64) {
+	t.RecordSuccess(parts, began, began.Add(300*time.Millisecond))
+}
+
+func TestAdmit(t *testing.T) {
+	t.Parallel()
+	crash := func(t *quarantine.Tracker, at time.Time, engine string, parts ...uint64) {
+		t.RecordCrash(parts, engine, at)
+	}
+	for _, c := range []struct {
+		name  string
+		setup func(t *quarantine.Tracker)
+		parts []uint64
+		after time.Duration
+		want  bool
+	}{
+		{"no findings", func(*quarantine.Tracker) {}, []uint64{common, deadly}, 0, true},
+		{"no parts", func(t *quarantine.Tracker) { crash(t, at(0), "e1", deadly) }, nil, 0, true},
+		{"unproven part after one crash", func(t *quarantine.Tracker) { crash(t, at(0), "e1", deadly) }, []uint64{deadly}, time.Second, false},
+		{"other part after a crash", func(t *quarantine.Tracker) { crash(t, at(0), "e1", deadly) }, []uint64{common}, time.Second, true},
+		{"proven part beside an unproven one", func(t *quarantine.Tracker) {
+			succeed(t, at(-time.Second), common)
+			crash(t, at(0), "e1", common, deadly)
+		}, []uint64{common}, time.Second, true},
+		{"unproven part beside a proven one", func(t *quarantine.Tracker) {
+			succeed(t, at(-time.Second), common)
+			crash(t, at(0), "e1", common, deadly)
+		}, []uint64{common, deadly}, time.Second, false},
+		{"proven part after one crash", func(t *quarantine.Tracker) {
+			succeed(t, at(-time.Second), deadly)
+			crash(t, at(0), "e1", deadly)
+		}, []uint64{deadly}, time.Second, true},
+		{"proven part after two crashes", func(t *quarantine.Tracker) {
+			succeed(t, at(-time.Second), deadly)
+			crash(t, at(0), "e1", deadly)
+			crash(t, at(100*time.Millisecond), "e2", deadly)
+		}, []uint64{deadly}, time.Second, false},
+		{"proven part after two requests of one crash", func(t *quarantine.Tracker) {
+			succeed(t, at(-time.Second), deadly)
+			crash(t, at(0), "e1", deadly)
+			crash(t, at(100*time.Millisecond), "e1", deadly)
+		}, []uint64{deadly}, time.Second, true},
+		{"success that began after the crash", func(t *quarantine.Tracker) {
+			crash(t, at(0), "e1", deadly)
+			succeed(t, at(100*time.Millisecond), deadly)
+		}, []uint64{deadly}, time.Second, true},
+		{"crash after a success is the first one again", func(t *quarantine.Tracker) {
+			crash(t, at(0), "e1", deadly)
+			succeed(t, at(100*time.Millisecond), deadly)
+			crash(t, at(500*time.Millisecond), "e2", deadly)
+		}, []uint64{deadly}, time.Second, true},
+		{"request that lacks one of two suspects", func(t *quarantine.Tracker) { crash(t, at(0), "e1", common, deadly) }, []uint64{common}, time.Second, true},
+		{"request with both suspects", func(t *quarantine.Tracker) { crash(t, at(0), "e1", common, deadly) }, []uint64{common, deadly}, time.Second, false},
+		{"suspects of different crashes", func(t *quarantine.Tracker) {
+			crash(t, at(0), "e1", common, deadly)
+			crash(t, at(0), "e2", other, deadly)
+		}, []uint64{deadly}, time.Second, false},
+		{"first hold ended", func(t *quarantine.Tracker) { crash(t, at(0), "e1", deadly) }, []uint64{deadly}, 6 * time.Second, true},
+		{"second hold has not ended", func(t *quarantine.Tracker) {
+			crash(t, at(0), "e1", deadly)
+			crash(t, at(0), "e2", deadly)
+		}, []uint64{deadly}, 29 * time.Second, false},
+		{"proof expired", func(t *quarantine.Tracker) {
+			succeed(t, at(-2*time.Minute), deadly)
+			crash(t, at(0), "e1", deadly)
+		}, []uint64{deadly}, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			tracker := newTracker(nil)
+			c.setup(tracker)
+			d := tracker.Admit("request", c.parts, at(c.after))
+			is.Equal(d.Admitted, c.want)
+			is.Equal(d.RetryAfter > 0, !c.want)
+		})
+	}
+}
+
+// A part that keeps crashing engines is tried ever more rarely, and only by one request
+// at a time.
+func TestTrialsOfAHeldPart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tracker := newTracker(nil)
+	now := at(0)
+	tracker.RecordCrash([]uint64{deadly}, "e0", now)
+	var trials []time.Duration
+	for n := 0; now.Before(at(30 * time.Minute)); n++ {
+		now = now.Add(50 * time.Millisecond)
+		if !tracker.Admit(fmt.Sprint("request-", n), []uint64{deadly}, now).Admitted {
+			continue
+		}
+		is.True(!tracker.Admit("beside the trial", []uint64{deadly}, now).Admitted)
+		trials = append(trials, now.Sub(start).Truncate(time.Second))
+		tracker.RecordCrash([]uint64{deadly}, fmt.Sprint("e", n+1), now)
+	}
+	is.True(len(trials) >= 4)
+	for i, atLeast := range []time.Duration{5, 35, 155, 635} {
+		is.True(trials[i] >= atLeast*time.Second)
+		is.True(trials[i] < (atLeast+20)*time.Second) // a part that no longer crashes engines is released soon
+	}
+	is.True(len(trials) <= 6)
+}
+
+// When the trouble ends, the first trial that succeeds releases the part on all hosts;
+// when it comes again, the part is held again.
+func TestTroubleEndsAndReturns(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var findings []quarantine.Finding
+	a, b := newTracker(&findings), newTracker(nil)
+	share := func(now time.Time) {
+		for _, f := range findings {
+			b.Merge(f, now)
+		}
+	}
+	admitted := func(t *quarantine.Tracker, now time.Time) bool { return t.Admit("r", []uint64{deadly}, now).Admitted }
+	a.RecordCrash([]uint64{deadly}, "e1", at(0))
+	share(at(0))
+	is.True(!admitted(a, at(time.Second)))
+	is.True(!admitted(b, at(time.Second)))
+	is.True(admitted(a, at(6*time.Second)))
+	succeed(a, at(6*time.Second), deadly)
+	share(at(7 * time.Second))
+	is.True(admitted(a, at(7*time.Second)))
+	is.True(admitted(b, at(7*time.Second)))
+	is.Equal(a.Held(at(7*time.Second)), 0)
+	for i, engine := range []string{"e2", "e3"} {
+		a.RecordCrash([]uint64{deadly}, engine, at(time.Duration(8+i)*time.Second))
+	}
+	share(at(10 * time.Second))
+	is.True(!admitted(a, at(11*time.Second)))
+	is.True(!admitted(b, at(11*time.Second)))
+	// Old findings that arrive again change nothing.
+	share(at(12 * time.Second))
+	is.True(!admitted(b, at(13*time.Second)))
+}
+
+// Hosts that have received the same findings in any order decide alike.
+func TestFindingsCommute(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		finding := rapid.Custom(func(rt *rapid.T) quarantine.Finding {
+			return quarantine.Finding{
+				Part: rapid.Uint64Range(1, 2).Draw(rt, "part"), Generation: rapid.Int64Range(1, 3).Draw(rt, "generation"),
+				Engine: rapid.SampledFrom([]string{"", "e1", "e2", "e3"}).Draw(rt, "engine"),
+			}
+		})
+		findings := rapid.SliceOfN(finding, 1, 12).Draw(rt, "findings")
+		shuffled := rapid.Permutation(findings).Draw(rt, "shuffled")
+		a, b := newTracker(nil), newTracker(nil)
+		for i := range findings {
+			a.Merge(findings[i], at(0))
+			b.Merge(shuffled[i], at(0))
+		}
+		for part := uint64(1); part <= 2; part++ {
+			// The hold tells the number of crashes.
+			got, want := a.Admit("r", []uint64{part}, at(0)), b.Admit("r", []uint64{part}, at(0))
+			if got != want {
+				rt.Fatalf("got %+v and %+v for part %d in two orders, want the same", got, want, part)
+			}
+		}
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tracker := newTracker(nil)
+	const parts, remembered = 5000, 1024
+	for part := range uint64(parts) {
+		tracker.RecordCrash([]uint64{part}, "e1", at(time.Duration(part)*time.Millisecond))
+	}
+	now := at(parts * time.Millisecond)
+	is.Equal(tracker.Held(now), remembered)
+	is.True(!tracker.Admit("r", []uint64{parts - 1}, now).Admitted) // the newest are kept
+	is.True(tracker.Admit("r", []uint64{0}, now).Admitted)
+}
+
+func TestFindingItem(t *testing.T) {
+	t.Parallel()
+	for _, f := range []quarantine.Finding{
+		{Part: deadly, Generation: 3, Engine: "i-12fd/1792178439211"},
+		{Part: deadly, Generation: 3, Engine: "e", Others: []uint64{common, 1<<64 - 1}},
+		{Part: common, Generation: 7},
+	} {
+		is := is.New(t)
+		got, ok := quarantine.ParseItem(f.Item())
+		is.True(ok)
+		is.Equal(got, f)
+	}
+}
+
+func FuzzParseItem(f *testing.F) {
+	f.Add("part/dead/crash/1/e/2", int64(1), []byte{1, 2, 3})
+	f.Add("part/dead/cleared", int64(2), []byte(nil))
+	f.Add("leave/host", int64(2), []byte(nil))
+	f.Fuzz(func(t *testing.T, key string, stamp int64, value []byte) {
+		i := quarantine.Finding{}.Item()
+		i.Key, i.Stamp, i.Value = key, stamp, value
+		finding, ok := quarantine.ParseItem(i)
+		if !ok {
+			return
+		}
+		again, ok := quarantine.ParseItem(finding.Item())
+		if !ok || again.Part != finding.Part || again.Generation != finding.Generation || again.Engine != finding.Engine {
+			t.Errorf("got %+v after encoding it again, want %+v", again, finding)
+		}
+	})
+}
--- a/replica/list.go
+++ b/replica/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -33,6 +34,9 @@
 	Version int
 }
 
+// Incarnation identifies this run of the replica: its ID and its start time.
+func (r Replica) Incarnation() string { return fmt.Sprintf("%s/%d", r.ID, r.Started) }
+
 // View is an immutable snapshot of the listed replicas.
 type View struct {
 	// byService holds the replicas that do not drain by service.
