control: a quarter of the engines of a domain hold the first layers

Cause: an engine is crashed by a request that starts at it, so the crashes hit the holders of layer 0 one after the other, of which a fleet of 38 had four; three of them were the largest engines, with layers 0 to 15. Three crashes within 0.3 s left no path for 7 s, at all hosts (forward: no path for stream, layers 0 and 6). Class of fault: a role that is needed by all requests on few members, chosen by a rule that looks at each layer alone.

Why this works: the smallest engines of each domain, a quarter of its engines, get the first layers before the others are placed, within half of what the domain holds beyond one copy. A crash takes a tenth of the entry engines and 6 layers that load in 1 s.

--- a/control/cover.go
+++ b/control/cover.go
@@ -51,7 +51,8 @@
 // It covers each failure domain separately, because the links between domains
 // are shared by all streams. An engine gets as many layers as leave it the target
 // KV-cache capacity, and of all such ranges the one with the greatest shortage of
-// capacity in its domain.
+// capacity in its domain. Some of the smallest engines get the first layers before that
+// (see entryEngines).
 func Cover(m *ingress.Model, placements []Placement) []Assignment {
 	c := newCoverage(m, placements)
 	var free []Placement
@@ -67,15 +68,20 @@
 		return cmp.Or(cmp.Compare(b.Accelerator.MemoryMB, a.Accelerator.MemoryMB), cmp.Compare(a.ID, b.ID))
 	})
 	var assignments []Assignment
-	for _, p := range free {
-		n := c.layersFor(p.Accelerator)
-		if n == 0 {
-			continue
-		}
-		r := c.scarcestRange(p.FailureDomain, n)
+	assign := func(p Placement, r route.Range) {
 		c.add(p, r)
 		assignments = append(assignments, Assignment{ID: p.ID, Layers: r})
 	}
+	entries := map[string]bool{}
+	for _, p := range c.entryEngines(placements, free) {
+		entries[p.ID] = true
+		assign(p, route.Range{To: c.layersFor(p.Accelerator)})
+	}
+	for _, p := range free {
+		if n := c.layersFor(p.Accelerator); n > 0 && !entries[p.ID] {
+			assign(p, c.scarcestRange(p.FailureDomain, n))
+		}
+	}
 	return assignments
 }
 
--- a/control/cover_test.go
+++ b/control/cover_test.go
@@ -77,6 +77,51 @@
 	}
 }
 
+// Losing the engines that receive requests, one after the other, must not end the service
+// of a domain.
+func TestFirstLayersAreHeldByManySmallEngines(t *testing.T) {
+	t.Parallel()
+	for _, domain := range []string{"a", "b", "c"} {
+		engines := inDomain(placed(fleetModel, emptyFleet()), domain)
+		var entries []control.Placement
+		for _, p := range engines {
+			if p.Layers.From == 0 {
+				entries = append(entries, p)
+			}
+		}
+		if got, want := len(entries), len(engines)/4; got < want {
+			t.Errorf("got %d of %d engines with the first layer in %s, want at least %d", got, len(engines), domain, want)
+		}
+		for _, p := range entries {
+			if p.Accelerator != fleetModel.Accelerators["small"] {
+				t.Errorf("got the first layers on %s, want them on small engines", p.ID)
+			}
+		}
+	}
+}
+
+// More engines with the first layers must not leave other layers without any.
+func TestFirstLayersDoNotDisplaceOthers(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ingress.Model{Layers: rapid.IntRange(4, 60).Draw(t, "layers"), LayerMB: 1000, KVTokenMB: 0.01}
+		var placements []control.Placement
+		layers := 0
+		for i, n := range rapid.SliceOfN(rapid.IntRange(1, 12), 1, 30).Draw(t, "sizes") {
+			placements = append(placements, control.Placement{
+				ID: fmt.Sprint(i), FailureDomain: "a", Accelerator: ingress.Accelerator{MemoryMB: float64(n)*1000 + 900},
+			})
+			layers += n
+		}
+		if layers < 2*m.Layers {
+			return
+		}
+		if !control.CoversAll(m, placed(m, placements)) {
+			t.Fatalf("got layers missing on engines for %d layers, want all %d held", layers, m.Layers)
+		}
+	})
+}
+
 // In any fleet, Cover assigns no engine more layers than leave memory for a KV
 // cache, no layers outside the model, and nothing to engines in service.
 func TestCoverFitsAnyFleet(t *testing.T) {
