daemon/hosted: a new host learns of crashes at once

Cause: the others reject a host until they know that it is a member, which they learned at their next heartbeat, up to 0.9 s later, and the new host asked only once.

Why this works: a connection of an unknown host makes a host read the members, at most every 0.2 s and instead of at its next heartbeat; and a new host asks every 0.1 s until one replies. The connection itself is still rejected.

The gap that remains is the start itself: a host serves before it has findings.

--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -21,6 +22,10 @@
 	// digestInterval is the interval at which a host that has items compares them
 	// with another one.
 	digestInterval = 3 * time.Second
+	// startupInterval is the interval at which a host that has just started asks others
+	// for their findings until one replies, for at most startupTimeout.
+	startupInterval = 100 * time.Millisecond
+	startupTimeout  = 5 * time.Second
 	// exchangeTimeout bounds one exchange. It leaves time to set up a connection.
 	exchangeTimeout = 800 * time.Millisecond
 	// maxExchangeBytes limits the items in one exchange. A host passes each item on
@@ -36,8 +41,10 @@
 	table *gossip.Table
 	// added signals that the table may have items to pass on.
 	added chan struct{}
-	// sends counts the exchanges that are running.
-	sends sync.WaitGroup
+	// sends counts the exchanges that are running. replied is set once another host has
+	// replied to one.
+	sends   sync.WaitGroup
+	replied atomic.Bool
 }
 
 func newFindings(h *Host) *findings {
@@ -88,11 +95,7 @@
 	go func() {
 		defer func() { done <- nil }()
 		defer f.sends.Wait()
-		select {
-		case <-f.host.group.membersRead:
-			f.compareDigests(ctx, gossipFanout)
-		case <-ctx.Done():
-		}
+		f.catchUp(ctx)
 		ticker := time.NewTicker(digestInterval)
 		defer ticker.Stop()
 		for ctx.Err() == nil {
@@ -111,6 +114,19 @@
 	return done
 }
 
+// catchUp asks other hosts for their findings until one of them has replied. They do
+// not accept this host before they know that it is a member.
+func (f *findings) catchUp(ctx context.Context) {
+	select {
+	case <-f.host.group.membersRead:
+	case <-ctx.Done():
+	}
+	for end := time.Now().Add(startupTimeout); !f.replied.Load() && time.Now().Before(end) && ctx.Err() == nil; {
+		f.compareDigests(ctx, gossipFanout)
+		loop.SleepContext(ctx, startupInterval)
+	}
+}
+
 // partners returns the addresses of the hosts that this one exchanges with, and the
 // number of all hosts.
 func (f *findings) partners(now time.Time) (addresses []string, hosts int) {
@@ -160,7 +176,9 @@
 		f.sends.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 			defer cancel()
-			f.exchanger().Send(ctx, address, x)
+			if f.exchanger().Send(ctx, address, x) {
+				f.replied.Store(true)
+			}
 		})
 	}
 }
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -31,6 +31,9 @@
 	leaseMargin = 700 * time.Millisecond
 	// readyPollInterval is the interval of checks whether the host can serve.
 	readyPollInterval = 20 * time.Millisecond
+	// refreshInterval is the minimum time between two reads of the members that are due
+	// to hosts that are not known as members.
+	refreshInterval = 200 * time.Millisecond
 	// startupJoinDelay is the time between joining the group and reading its
 	// members for the first time.
 	startupJoinDelay = 300 * time.Millisecond
@@ -58,6 +61,8 @@
 	memberName string
 	// membersRead is closed after the first attempt to read the members.
 	membersRead chan struct{}
+	// unknownPin signals that a host has connected that is not known as a member.
+	unknownPin chan struct{}
 
 	mu sync.Mutex
 	// generation is the group's generation as of the last heartbeat that the store
@@ -85,7 +90,7 @@
 		Address: h.cfg.CallerAddress, FailureDomain: h.cfg.FailureDomain, PeerAddress: h.cfg.PeerAddress, Pin: pin,
 		Capacity: h.cfg.ProcessorShare * h.cfg.LinkMbps,
 	}
-	return &group{host: h, memberName: self.memberName(time.Now()), membersRead: make(chan struct{})}
+	return &group{host: h, memberName: self.memberName(time.Now()), membersRead: make(chan struct{}), unknownPin: make(chan struct{}, 1)}
 }
 
 // run joins the group once the host can serve, and maintains the membership
@@ -100,17 +105,49 @@
 		// Let the hosts that started at the same time join before the members are
 		// read.
 		loop.SleepContext(ctx, startupJoinDelay)
-		g.tick(ctx)
+		g.tick()
 		close(g.membersRead)
-		done <- <-loop.Every(ctx, heartbeatInterval, g.tick)
+		g.maintain(ctx)
+		done <- nil
 	}()
 	return done
 }
 
+// maintain sends heartbeats until ctx ends, and reads the members when an unknown host
+// connects.
+func (g *group) maintain(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	var refreshedAt time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			g.tick()
+		case <-g.unknownPin:
+			if time.Since(refreshedAt) >= refreshInterval {
+				refreshedAt = time.Now()
+				g.refresh()
+			}
+		case <-ctx.Done():
+		}
+	}
+}
+
+// refresh reads the members if they have changed. A host that has just joined can so
+// connect to this one before the next heartbeat.
+func (g *group) refresh() {
+	if g.host.stopping.Load() {
+		return
+	}
+	if generation, ok := g.join(); ok && generation != g.membersGeneration() {
+		g.readMembers(generation)
+	}
+}
+
 // tick sends a heartbeat if one is due, and reads the members if they have
 // changed, unless the source provides them. It does nothing on a host that is
 // stopping.
-func (g *group) tick(context.Context) {
+func (g *group) tick() {
 	if g.ticks++; g.host.stopping.Load() || g.ticks%followerHeartbeatTicks != 0 && !g.isReader() {
 		return
 	}
@@ -224,11 +261,18 @@
 	return !hasSource
 }
 
-// hasPin reports whether a pin belongs to a member.
+// hasPin reports whether a pin belongs to a member. If not, the members are read again.
 func (g *group) hasPin(pin string) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.pins[pin]
+	known := g.pins[pin]
+	g.mu.Unlock()
+	if !known {
+		select {
+		case g.unknownPin <- struct{}{}:
+		default:
+		}
+	}
+	return known
 }
 
 // size returns the number of hosts in the group, including this one.
--- a/gossip/exchanger.go
+++ b/gossip/exchanger.go
@@ -24,24 +24,26 @@
 }
 
 // Send sends an exchange to the host at an address and merges the items that it
-// returns. If that host lacks items, too, they are sent in a second exchange.
-func (e *Exchanger) Send(ctx context.Context, address string, x Exchange) {
+// returns. If that host lacks items, too, they are sent in a second exchange. Send
+// reports whether the host replied.
+func (e *Exchanger) Send(ctx context.Context, address string, x Exchange) (replied bool) {
 	reply, err := e.Sender.Exchange(ctx, address, x)
 	if err != nil {
 		e.Log.Debug("gossip: exchange failed", "peer", address, "cause", err.Error())
-		return
+		return false
 	}
 	if reply == nil {
-		return
+		return true
 	}
 	e.Apply(ctx, e.Table.Merge(reply.Items, time.Now()), address)
 	if reply.Digest == nil {
-		return
+		return true
 	}
 	missing := e.Table.Differing(*reply.Digest)
 	if _, err := e.Sender.Exchange(ctx, address, missing); err != nil {
 		e.Log.Debug("gossip: exchange failed", "peer", address, "cause", err.Error())
 	}
+	return true
 }
 
 // Answer merges the items of an exchange that the host at an address has sent, and
