completion, quarantine: contain prompts that crash engines in the native protocol

The same cause as on the users' platform: each attempt of a completion, up to the limit of attempts, crashed another engine, and so did the next request with that prompt. Here no caller declares parts, so the parts of a prompt are hashes of its first blocks, as they are for the prefix cache. Most prompts have blocks of their own that no answer has proven, so one crash holds nothing and a request survives it; the second one does.

quarantine.Attempt observes the beginning of an answer for both protocols. Findings are items of the existing gossip.

--- a/completion/attempt.go
+++ b/completion/attempt.go
@@ -32,13 +32,15 @@
 	defer cancel()
 	n := x.progress.BeginAttempt()
 	x.unresponsive = nil
-	s := x.engines.Generate(ctx, engine.Generate{
+	x.observed = x.Quarantine.Observe(x.parts)
+	s := x.Engines.Generate(ctx, engine.Generate{
 		RequestID: x.req.ID, Attempt: n, Prompt: x.req.Prompt, Delivered: x.progress.Delivered(),
 		MaxTokens: x.req.MaxTokens, Priority: int(rule.PriorityNormal), Route: rt,
 	}, x.opts.FirstTokenTimeout)
 	f := x.readStream(ctx, rt, s)
+	x.observeCrash(ctx, rt, f)
 	finished := f == nil || f.terminal != nil
-	x.canceller.Cancel(rt.Hops, engine.Cancel{RequestID: x.req.ID, Attempt: n, Free: finished})
+	x.Canceller.Cancel(rt.Hops, engine.Cancel{RequestID: x.req.ID, Attempt: n, Free: finished})
 	return f
 }
 
@@ -105,7 +107,7 @@
 	for _, l := range links {
 		constraints.AvoidLinks[l] = true
 	}
-	other, release, err := x.planner.Plan(x.req.Model, constraints)
+	other, release, err := x.Planner.Plan(x.req.Model, constraints)
 	if err != nil {
 		return nil
 	}
@@ -128,9 +130,10 @@
 func (x *run) handleEvent(e engine.Event) (finished bool, f *failure) {
 	switch x.progress.Accept(e) {
 	case VerdictDrop:
-		x.counter.Dropped()
+		x.Counter.Dropped()
 	case VerdictDeliver:
 		x.unresponsive = nil
+		x.observed.RecordEvent(time.Now())
 		if err := x.sink.WriteToken(e.Position, e.Token); err != nil {
 			return true, &failure{cause: err, mayHaveRun: true, terminal: callerLeftError(err)}
 		}
@@ -148,6 +151,7 @@
 		}
 		return true, f
 	case VerdictEnd:
+		x.observed.RecordEnd(time.Now())
 		return true, nil
 	}
 	return false, nil
--- a/completion/failure.go
+++ b/completion/failure.go
@@ -17,13 +17,13 @@
 	}
 	x.log.Warn("completion: attempt failed", "attempt", x.progress.attempt, "endpoints", lo.Keys(f.failedEndpoints),
 		"position", len(x.progress.Delivered()), "cause", f.cause.Error())
-	x.counter.Resumed(resumeCause(f))
+	x.Counter.Resumed(resumeCause(f))
 	if len(f.failedEndpoints) == 0 {
 		// Suspect a link only if all engines answer: if an engine has died, each
 		// hop before it reports its own link as failed.
 		for _, l := range f.failedLinks {
 			x.avoidLinks[l] = true
-			x.planner.SuspectLink(l)
+			x.Planner.SuspectLink(l)
 		}
 	}
 	clear(x.cached)
@@ -33,7 +33,7 @@
 			continue
 		}
 		x.avoid[h.Endpoint] = true
-		x.planner.Suspect(h.Endpoint, h.Incarnation)
+		x.Planner.Suspect(h.Endpoint, h.Incarnation)
 	}
 }
 
@@ -68,7 +68,7 @@
 	}
 	replies := make(chan reply, len(rt.Hops))
 	for _, h := range rt.Hops {
-		go func() { replies <- reply{endpoint: h.Endpoint, err: x.engines.Probe(ctx, h.Address)} }()
+		go func() { replies <- reply{endpoint: h.Endpoint, err: x.Engines.Probe(ctx, h.Address)} }()
 	}
 	failed := map[string]bool{}
 	for range rt.Hops {
--- a/completion/kills_test.go
+++ b/completion/kills_test.go
@@ -194,7 +194,7 @@
 	r := completion.NewRunner(completion.Options{
 		FirstTokenTimeout: 10 * time.Second, TokenTimeout: 5 * time.Second, ProbeAfter: 250 * time.Millisecond,
 		ProbeTimeout: 250 * time.Millisecond, MaxAttempts: attempts, RouteRetryInterval: 50 * time.Millisecond, RouteWait: 5 * time.Second,
-	}, f, f, f, f, slog.New(slog.DiscardHandler))
+	}, completion.Dependencies{Engines: f, Planner: f, Quarantine: newQuarantine(), Canceller: f, Counter: f, Log: slog.New(slog.DiscardHandler)})
 	err := r.Run(ctx, completion.Request{
 		ID: "r", Model: rule.Model{Name: "m"}, Prompt: "p", MaxTokens: tokens, Deadline: time.Now().Add(time.Hour),
 	}, f)
--- a/completion/runner.go
+++ b/completion/runner.go
@@ -8,6 +8,7 @@
 
 	"bulrushshed/engine"
 	"bulrushshed/outcome"
+	"bulrushshed/quarantine"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -40,6 +41,14 @@
 	SuspectLink(l route.Link)
 }
 
+// Quarantine decides which prompts may be sent to engines.
+type Quarantine interface {
+	// Admit decides about a request before each attempt.
+	Admit(requestID string, parts []uint64, now time.Time) quarantine.Decision
+	// Observe returns what records the outcome of an attempt.
+	Observe(parts []uint64) *quarantine.Attempt
+}
+
 // Canceller tells engines asynchronously that an attempt has ended.
 type Canceller interface {
 	Cancel(hops []route.Hop, c engine.Cancel)
@@ -80,17 +89,23 @@
 
 // Runner answers requests. It is safe for concurrent use.
 type Runner struct {
-	opts      Options
-	engines   Engines
-	planner   Planner
-	canceller Canceller
-	counter   Counter
-	log       *slog.Logger
+	opts Options
+	Dependencies
+}
+
+// Dependencies are the components that a runner uses.
+type Dependencies struct {
+	Engines    Engines
+	Planner    Planner
+	Quarantine Quarantine
+	Canceller  Canceller
+	Counter    Counter
+	Log        *slog.Logger
 }
 
 // NewRunner returns a runner.
-func NewRunner(o Options, e Engines, p Planner, c Canceller, n Counter, log *slog.Logger) *Runner {
-	return &Runner{opts: o, engines: e, planner: p, canceller: c, counter: n, log: log}
+func NewRunner(o Options, deps Dependencies) *Runner {
+	return &Runner{opts: o, Dependencies: deps}
 }
 
 // run is the state of one request while it is answered.
@@ -109,6 +124,10 @@
 	unresponsive map[string]bool
 	// reroutes is how often the request left a route for being slow.
 	reroutes int
+	// parts are the parts of the prompt that other requests may share, and observed
+	// records whether the prompt crashes the engine of the current attempt.
+	parts    []uint64
+	observed *quarantine.Attempt
 	// version is the model version that generates all tokens of the answer.
 	version string
 	log     *slog.Logger
@@ -123,7 +142,8 @@
 		Runner: r, req: req, sink: sink,
 		progress: NewProgress(req.ID, req.MaxTokens),
 		avoid:    map[string]bool{}, avoidLinks: map[route.Link]bool{}, cached: map[string]route.Range{},
-		log: r.log.With("request_id", req.ID, "customer", req.Customer),
+		parts: promptParts(req.Prompt),
+		log:   r.Log.With("request_id", req.ID, "customer", req.Customer),
 	}
 	err := x.runAttempts(ctx)
 	var o *outcome.Error
@@ -137,6 +157,9 @@
 	var last error
 	mayHaveRun := false
 	for failures := 0; failures < x.opts.MaxAttempts; {
+		if err := x.checkQuarantine(mayHaveRun); err != nil {
+			return err
+		}
 		rt, release, err := x.plan(ctx)
 		if ctx.Err() != nil {
 			return x.contextError(ctx, mayHaveRun)
@@ -169,7 +192,7 @@
 // plan retries for up to RouteWait until there is a route.
 func (x *run) plan(ctx context.Context) (route.Route, func(), error) {
 	for waited := time.Duration(0); ; waited += x.opts.RouteRetryInterval {
-		rt, release, err := x.planner.Plan(x.req.Model, x.constraints())
+		rt, release, err := x.Planner.Plan(x.req.Model, x.constraints())
 		if err == nil || waited >= x.opts.RouteWait || ctx.Err() != nil {
 			return rt, release, err
 		}
--- a/completion/slow_test.go
+++ b/completion/slow_test.go
@@ -65,7 +65,7 @@
 		r := completion.NewRunner(completion.Options{
 			FirstTokenTimeout: 10 * time.Second, TokenTimeout: 5 * time.Second, ProbeAfter: 250 * time.Millisecond,
 			ProbeTimeout: 250 * time.Millisecond, MaxAttempts: 3, RouteRetryInterval: 50 * time.Millisecond, RouteWait: time.Second,
-		}, f, f, f, f, slog.New(slog.DiscardHandler))
+		}, completion.Dependencies{Engines: f, Planner: f, Quarantine: newQuarantine(), Canceller: f, Counter: f, Log: slog.New(slog.DiscardHandler)})
 		const many = 60
 		err := r.Run(t.Context(), completion.Request{
 			ID: "r", Model: rule.Model{Name: "m"}, Prompt: "p", MaxTokens: many, Deadline: time.Now().Add(time.Hour),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"bulrushshed/peer"
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
+	"bulrushshed/quarantine"
 	"bulrushshed/settings"
 )
 
@@ -52,6 +53,8 @@
 	// on each endpoint.
 	gossipTable *gossip.Table
 	inflight    *balance.Inflight
+	// quarantine tracks the parts of prompts that crash engines.
+	quarantine *quarantine.Tracker
 	// gate admits requests within this host's shares of the limits, and allocator
 	// divides the limits that this host is responsible for among all entry hosts.
 	gate         *admit.Gate
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -14,6 +14,7 @@
 	"bulrushshed/hostlog"
 	"bulrushshed/peer"
 	"bulrushshed/publication"
+	"bulrushshed/quarantine"
 	"bulrushshed/rule"
 )
 
@@ -84,6 +85,9 @@
 	d.gossipTable.Put(gossip.Item{Key: key, Stamp: stamp, Value: body, TTLMS: hostItemTTL.Milliseconds()}, time.Now())
 }
 
+// gossipFinding announces a finding about a part of prompts.
+func (d *Daemon) gossipFinding(f quarantine.Finding) { d.gossipTable.Put(f.Item(), time.Now()) }
+
 // announceLeave tells the other hosts and the platform immediately that this
 // host is leaving.
 func (d *Daemon) announceLeave() {
@@ -108,6 +112,10 @@
 			d.directory.MarkLeaving(directory.LeaveNotice{Host: host, Incarnation: i.Stamp}, time.Now())
 		case strings.HasPrefix(i.Key, hostKeyPrefix), strings.HasPrefix(i.Key, unlistedKeyPrefix):
 			d.applyHostItem(i)
+		default:
+			if f, ok := quarantine.ParseItem(i); ok {
+				d.quarantine.Merge(f, time.Now())
+			}
 		}
 	}
 }
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -53,7 +53,7 @@
 	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.group.localSize})
 	h.controller = newController(h)
 	h.findings = newFindings(h)
-	h.quarantine = quarantine.New(quarantine.Options{Publish: h.findings.publish, Log: h.log})
+	h.quarantine = quarantine.New(quarantine.Options{UnprovenCrashLimit: unprovenCrashLimit, Publish: h.findings.publish, Log: h.log})
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, countingForwarder{h, forward.New(forward.Dependencies{
@@ -81,6 +81,10 @@
 	return p, err
 }
 
+// unprovenCrashLimit is the number of engines that may crash under a prompt part without
+// a good record before requests with the part are refused.
+const unprovenCrashLimit = 1
+
 // retryBudgetFraction is the fraction of the retry budget that is used. The
 // rest is a margin for hosts that know different members of the group, and so
 // divide the budget by different numbers.
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -22,6 +22,7 @@
 	"bulrushshed/meter"
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
+	"bulrushshed/quarantine"
 	"bulrushshed/route"
 	"bulrushshed/servicehttp"
 	"bulrushshed/settings"
@@ -42,6 +43,11 @@
 	maxExchangeBytes = 16 << 10
 	retransmitFactor = 2
 
+	// unprovenCrashLimit is the number of engines that may crash under a prompt of which
+	// no part has a good record. As most prompts have parts of their own, a request
+	// survives the crash of one engine.
+	unprovenCrashLimit = 2
+
 	// logReadLimit is the maximum number of records per read of the log.
 	logReadLimit  = 200
 	logReadWait   = time.Second
@@ -114,6 +120,7 @@
 			Limit: logReadLimit, Wait: logReadWait, RetryDelay: logRetryDelay, Self: d.leaseHolderName(),
 			Lease: lease.Options{Term: t.LeaseTerm.D(), Margin: t.LeaseMargin.D(), Renew: t.LeaseRenew.D()},
 		}, d.gossipRules, log)
+	d.quarantine = quarantine.New(quarantine.Options{UnprovenCrashLimit: unprovenCrashLimit, Publish: d.gossipFinding, Log: log})
 	d.registerGauges()
 	return d, nil
 }
@@ -130,6 +137,7 @@
 		}
 		return 0
 	})
+	d.meter.Gauge("bulrushshed_quarantined_prompt_parts", func() float64 { return float64(d.quarantine.Held(time.Now())) })
 	d.meter.Gauge("bulrushshed_peer_bytes", func() float64 { return float64(d.peerNode.Bytes()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.follower.State().LastRead).Seconds() })
 }
@@ -140,7 +148,9 @@
 	return completion.NewRunner(completion.Options{
 		FirstTokenTimeout: t.FirstGap.D(), TokenTimeout: t.TokenGap.D(), ProbeAfter: t.ProbeAfter.D(), ProbeTimeout: t.Probe.D(),
 		MaxAttempts: d.cfg.Limits.Attempts, RouteRetryInterval: routeRetryInterval, RouteWait: t.RouteWait.D(),
-	}, d.engines, planner{d}, d.canceller, d.meter, d.log), nil
+	}, completion.Dependencies{
+		Engines: d.engines, Planner: planner{d}, Quarantine: d.quarantine, Canceller: d.canceller, Counter: d.meter, Log: d.log,
+	}), nil
 }
 
 func newDeliverer(i do.Injector) (*delivery.Deliverer, error) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushshed/pipeline"
+	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 	"bulrushshed/route"
 )
@@ -32,10 +33,8 @@
 	events       int
 	// err is the error with which the answer broke off, or nil.
 	err error
-	// beganAt is when the first event was received, or zero. proven is set once the
-	// engine has outlived the beginning of the answer.
-	beganAt time.Time
-	proven  bool
+	// observed records whether the prompt crashes the first engine.
+	observed *quarantine.Attempt
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
 	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
@@ -60,7 +59,7 @@
 func (s *stream) launch(first replica.Replica, path route.Route, release func()) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
-		first: first, path: path, progress: s.f.Progress.Track(path, time.Now()),
+		first: first, path: path, progress: s.f.Progress.Track(path, time.Now()), observed: s.f.Quarantine.Observe(s.req.SharedParts),
 		updates: make(chan update, 4), cancel: cancel, release: release,
 	}
 	s.attempt = a
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -102,7 +102,7 @@
 		Planner:  pipeline.NewPlanner(pipeline.Options{FailureDomain: "a", LocalHosts: hosts}),
 		Progress: pipeline.NewProgressTracker(),
 		Quarantine: quarantine.New(quarantine.Options{
-			Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
+			UnprovenCrashLimit: 1, Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
 		}),
 		Upstream: f.upstream,
 		Budget:   forward.NewBudget(forward.BudgetOptions{Extra: budget, Window: 10 * time.Second, Hosts: hosts}),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -245,7 +245,7 @@
 	}
 	e = u.event
 	if errors.Is(e.err, io.EOF) {
-		s.recordSuccess()
+		s.attempt.observed.RecordEnd(time.Now())
 		return e, ""
 	}
 	if e.err != nil {
@@ -259,7 +259,7 @@
 	s.attempt.progress.RecordEvent(now)
 	s.attempt.stallChecks = 0
 	s.attempt.events++
-	s.observeBeginning(now)
+	s.attempt.observed.RecordEvent(now)
 	s.rerouteOffDraining(now)
 	if e.id <= s.lastID {
 		return event{}, ""
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,8 @@
 	// CauseHomeSilent that it did not answer.
 	CauseHomeGone   Cause = "home_gone"
 	CauseHomeSilent Cause = "home_silent"
+	// CauseQuarantined means that a part of the prompt may crash engines.
+	CauseQuarantined Cause = "quarantined"
 	// CauseCallerLeft means that the caller disconnected.
 	CauseCallerLeft Cause = "caller_left"
 	// CauseInterrupted means that the answer could not be completed after an
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -35,6 +35,9 @@
 
 // Options are the settings of a Tracker.
 type Options struct {
+	// UnprovenCrashLimit is the number of crashes from which on a part is held that is
+	// not proven, at most two.
+	UnprovenCrashLimit int
 	// Publish sends a finding to the other hosts. It must not block.
 	Publish func(f Finding)
 	Log     *slog.Logger
@@ -129,7 +132,7 @@
 	if !ok {
 		return nil, false
 	}
-	limit := 1
+	limit := t.opts.UnprovenCrashLimit
 	if t.proven.contains(part, now) {
 		limit = provenCrashLimit
 	}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -25,6 +25,7 @@
 // newTracker returns a tracker that appends what it publishes to findings.
 func newTracker(findings *[]quarantine.Finding) *quarantine.Tracker {
 	return quarantine.New(quarantine.Options{
+		UnprovenCrashLimit: 1,
 		Publish: func(f quarantine.Finding) {
 			if findings != nil {
 				*findings = append(*findings, f)
@@ -131,7 +132,7 @@
 	elsewhere := newTracker(nil)
 	now := at(0)
 	tracker := quarantine.New(quarantine.Options{
-		Publish: func(f quarantine.Finding) { elsewhere.Merge(f, now) }, Log: slog.New(slog.DiscardHandler),
+		UnprovenCrashLimit: 1, Publish: func(f quarantine.Finding) { elsewhere.Merge(f, now) }, Log: slog.New(slog.DiscardHandler),
 	})
 	tracker.RecordCrash([]uint64{deadly}, "e0", now)
 	var trials []time.Duration
