jsonhttp: each request has a connection of its own

What could happen: a platform or an engine that sent a second copy of a response, late, on a kept connection had it taken for the response to the next request: an append for another append, an order's result for a status report, a heartbeat's for a later one.

Evidence: TestLateSecondResponseIsNotThatOfAnotherRequest got the first response for the second request.

Why this works: nothing that is in flight on a connection can meet another request. Checking for unread bytes before reuse would leave the time between check and response.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -65,8 +65,6 @@
 // Options limit a client's connections and responses.
 type Options struct {
 	DialTimeout time.Duration
-	// IdleTimeout is how long an unused keep-alive connection stays open.
-	IdleTimeout time.Duration
 	// MaxConnsPerHost limits the concurrent connections of Do and Call to one
 	// address.
 	MaxConnsPerHost int
@@ -81,7 +79,6 @@
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout:      time.Second,
-		IdleTimeout:      10 * time.Second,
 		MaxConnsPerHost:  4096,
 		MaxResponseBytes: 4 << 20,
 	}
@@ -100,7 +97,6 @@
 func NewClient(o Options) *Client {
 	return &Client{opts: o, http: &fasthttp.Client{
 		MaxConnsPerHost:           o.MaxConnsPerHost,
-		MaxIdleConnDuration:       o.IdleTimeout,
 		MaxResponseBodySize:       o.MaxResponseBytes,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -136,14 +132,16 @@
 // Header returns the first value of a header of the response.
 func (r *Response) Header(name string) string { return string(r.header.Peek(name)) }
 
-// Do sends a request, possibly on a keep-alive connection of an earlier one, and
-// returns the complete response, whatever its status.
+// Do sends a request and returns the complete response, whatever its status. Each
+// request has a connection of its own: a server that responds twice cannot be noticed
+// before its second response is taken for that of the next request.
 func (c *Client) Do(r Request) (*Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	r.copyTo(req)
+	req.SetConnectionClose()
 	if err := c.http.Do(req, resp); err != nil {
 		return nil, classify(r, err)
 	}
--- a/jsonhttp/client_test.go
+++ b/jsonhttp/client_test.go
@@ -130,3 +130,51 @@
 	_, err = c.Exchange(context.Background(), s.request(http.MethodPost))
 	is.Equal(jsonhttp.KindOf(err), jsonhttp.KindNotSent)
 }
+
+// A server sends a second copy of its response, late: once the client has received the
+// first one and before it sends the next request.
+func TestLateSecondResponseIsNotThatOfAnotherRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	received, copied := make(chan struct{}), make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	respond := func(conn net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + req.URL.Path
+		_, _ = conn.Write([]byte(body))
+		if req.URL.Path == "/1" {
+			<-received
+			_, _ = conn.Write([]byte(body))
+			close(copied)
+		}
+	}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				respond(conn, r)
+				respond(conn, r)
+			}()
+		}
+	}()
+	c := jsonhttp.NewClient(jsonhttp.DefaultOptions())
+	for _, path := range []string{"/1", "/2"} {
+		resp, err := c.Do(jsonhttp.Request{Method: http.MethodGet, URL: "http://" + ln.Addr().String() + path, Timeout: 5 * time.Second})
+		is.NoErr(err)
+		is.Equal(string(resp.Body), path)
+		if path == "/1" {
+			close(received)
+			<-copied
+		}
+	}
+}
