replicahttp, forward: bound headers and events that never end

What could happen: a replica in trouble that sends bytes without end, in the header of a response or in lines that are no event, filled the host's memory until the deadline of the request, 20 s; several of them would end the process.

Cause: net/http reads a header of any size from a plain reader, and the limit of an event applied only to single lines longer than the buffer. Answers of plain services, reports and the store were limited already.

TestEndlessHeaderIsRejected (5 cases, 4 of which failed before) and TestEndlessEventIsRejected (failed before).

--- a/forward/events.go
+++ b/forward/events.go
@@ -5,14 +5,16 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
 
-// maxEventBytes limits the size of an event that has a line longer than the read
-// buffer. A stream with a larger one is broken.
+// maxEventBytes limits the size of an event. A stream with a larger one is broken.
 const maxEventBytes = 1 << 18
 
+var errEventTooLarge = fmt.Errorf("got an event of more than %d bytes", maxEventBytes)
+
 // event is one event of a stream, including the blank line that ends it.
 type event struct {
 	bytes []byte
@@ -48,7 +50,10 @@
 		line, err := r.ReadSlice('\n')
 		e.bytes = append(e.bytes, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.bytes) < maxEventBytes:
+		case len(e.bytes) > maxEventBytes:
+			e.err = errEventTooLarge
+			return e
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(e.bytes) > 0:
 			e.err = io.ErrUnexpectedEOF
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -524,3 +524,33 @@
 		}
 	})
 }
+
+// endlessLines is a body of lines without end that are no event. It counts the bytes
+// that are read.
+type endlessLines struct{ read int }
+
+const tooManyBytes = 64 << 20
+
+func (b *endlessLines) Read(p []byte) (int, error) {
+	if b.read >= tooManyBytes {
+		return 0, io.EOF
+	}
+	n := copy(p, strings.Repeat("data: x\n", len(p)/8+1))
+	b.read += n
+	return n, nil
+}
+
+func TestEndlessEventIsRejected(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10)
+		body := &endlessLines{}
+		f.upstream.answers["e0"] = func(forward.Send) (*forward.UpstreamResponse, error) {
+			return &forward.UpstreamResponse{Status: 200, Body: io.NopCloser(body), Signed: true}, nil
+		}
+		f.upstream.answers["e1"] = f.upstream.answers["e0"]
+		is.Equal(f.forwarder.Do(t.Context(), request("stream")).Status, http.StatusBadGateway)
+		is.True(body.read < tooManyBytes)
+	})
+}
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -46,6 +47,8 @@
 	// has read a long body.
 	concurrentWriteBytes = 16 << 10
 	readBufferBytes      = 4 << 10
+	// maxHeaderBytes limits the header of a response, including interim responses.
+	maxHeaderBytes = 256 << 10
 	// maxInterimResponses is the maximum number of 1xx responses to skip.
 	maxInterimResponses = 4
 )
@@ -87,12 +90,18 @@
 }
 
 func readFinalResponse(conn net.Conn, head *fasthttp.RequestHeader) (*http.Response, error) {
-	r := bufio.NewReaderSize(conn, readBufferBytes)
+	limited := &io.LimitedReader{R: conn, N: maxHeaderBytes}
+	r := bufio.NewReaderSize(limited, readBufferBytes)
 	req := &http.Request{Method: string(head.Method())}
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			// The body is read through the same buffer; its reader limits it.
+			limited.N = math.MaxInt64
+			return resp, nil
 		}
 	}
 	return nil, fmt.Errorf("got %d interim responses and no final one", maxInterimResponses)
--- a/replicahttp/exchange_test.go
+++ b/replicahttp/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -181,3 +182,44 @@
 	is.True(err != nil)
 	<-closed
 }
+
+// A replica sends bytes without end where the header of a response belongs.
+func TestEndlessHeaderIsRejected(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ name, start, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-Field: x\r\n"},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\nX-Field: x\r\n\r\n"},
+		{"no response", "", "\x00"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const tooMuch = 16 << 20
+			sent := make(chan int, 1)
+			address := startReplica(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(conn, c.start)
+				block := strings.Repeat(c.repeated, 4096/len(c.repeated)+1)
+				n := 0
+				for n < tooMuch {
+					written, err := io.WriteString(conn, block)
+					n += written
+					if err != nil {
+						break
+					}
+				}
+				sent <- n
+			})
+			resp, err := replicahttp.Exchange(t.Context(), address, newHeader("GET", "/x", nil), nil)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			var e *replicahttp.Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, replicahttp.KindNoAnswer)
+			is.True(<-sent < tooMuch) // the connection was closed before
+		})
+	}
+}
