forward, completion: repeated events do not keep an attempt alive

What could happen: an engine that is stuck but sends a byte now and then, as an event that the caller has already, postponed every timeout. The stream stood still until the deadline, in both protocols.

Cause: each event from the engine reset the timers of stall detection, whether or not it was new. Bytes that are no whole event never did.

Why this works: only an event that is delivered counts as progress. Slow but sound streams are not affected: they are rerouted or resumed only where another path can take over.

--- a/completion/attempt.go
+++ b/completion/attempt.go
@@ -59,11 +59,17 @@
 			if !ok {
 				return x.streamFailure(rt, s.Err())
 			}
-			p.observe(time.Now())
+			arrived := time.Now()
+			received := len(x.progress.Delivered())
 			finished, f := x.handleEvent(e)
 			if finished {
 				return f
 			}
+			if len(x.progress.Delivered()) == received {
+				// A dropped event must not postpone the timeouts.
+				continue
+			}
+			p.observe(arrived)
 			p.exclude(time.Now())
 			if f := x.checkPace(rt, &p); f != nil {
 				return f
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -86,7 +86,7 @@
 func newFixture(budget float64) *fixture {
 	f := &fixture{replicas: replica.NewList(time.Second), tables: &tables{}}
 	f.tables.set(ingress.NewTable(config()), true)
-	f.upstream = &upstream{down: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.UpstreamResponse, error){}, streams: map[string]*runningStream{}, events: eventCount}
+	f.upstream = &upstream{down: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.UpstreamResponse, error){}, streamBy: map[string]func(context.Context, forward.Send) *forward.UpstreamResponse{}, streams: map[string]*runningStream{}, events: eventCount}
 	for i, held := range []route.Range{{From: 0, To: 2}, {From: 0, To: 2}, {From: 2, To: 4}, {From: 2, To: 4}} {
 		f.replicas.Put(replica.Replica{
 			ID: fmt.Sprintf("e%d", i), Service: "model", Address: fmt.Sprintf("e%d", i), FailureDomain: "a",
@@ -139,9 +139,10 @@
 	mu sync.Mutex
 	// down has engines that do not answer and that stall the streams through them.
 	down map[string]bool
-	// answers overrides how a replica answers a request, and crashing how an engine
-	// does.
+	// answers overrides how a replica answers a request, streamBy how an engine does
+	// until the context ends, and crashing how engines do that crash.
 	answers    map[string]func(forward.Send) (*forward.UpstreamResponse, error)
+	streamBy   map[string]func(context.Context, forward.Send) *forward.UpstreamResponse
 	crashing   *crashes
 	sends      []forward.Send
 	repaths    int
@@ -165,6 +166,7 @@
 	u.sends = append(u.sends, s)
 	answer := u.answers[s.Replica.Address]
 	down := u.down[s.Replica.Address]
+	streamBy := u.streamBy[s.Replica.Address]
 	crashing := u.crashing
 	u.mu.Unlock()
 	switch {
@@ -172,6 +174,8 @@
 		return nil, fmt.Errorf("dial: %w", forward.ErrNotSent)
 	case answer != nil:
 		return answer(s)
+	case streamBy != nil:
+		return streamBy(ctx, s), nil
 	case len(s.Path.Hops) == 0:
 		return answerWith(200, "ok"), nil
 	case crashing != nil && slices.Contains(s.Request.SharedParts, crashing.part):
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -219,6 +219,10 @@
 			if cause == "" && (e.hasID || errors.Is(e.err, io.EOF)) {
 				return e, ""
 			}
+			if cause == "" && u.answer == nil {
+				// A repeated event must not postpone the next check.
+				continue
+			}
 		case <-timer.C:
 			cause = s.checkStall()
 		case <-s.ctx.Done():
@@ -256,17 +260,18 @@
 		return event{}, "not_an_event"
 	}
 	now := time.Now()
-	s.attempt.progress.RecordEvent(now)
-	s.attempt.stallChecks = 0
-	s.attempt.events++
 	s.attempt.observed.RecordEvent(now)
 	s.rerouteOffDraining(now)
 	if e.id <= s.lastID {
+		// The caller has this event, so it is no progress.
 		return event{}, ""
 	}
 	if e.id != s.lastID+1 && (s.lastID >= 0 || e.id != firstEventID) {
 		return event{}, "gap"
 	}
+	s.attempt.progress.RecordEvent(now)
+	s.attempt.stallChecks = 0
+	s.attempt.events++
 	s.lastID = e.id
 	return e, ""
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -554,3 +554,35 @@
 		is.True(body.read < tooManyBytes)
 	})
 }
+
+// An engine that repeats events makes no progress.
+func TestRepeatedEventsDoNotKeepAStreamAlive(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10)
+		stuck := ""
+		for _, engine := range []string{"e0", "e1"} {
+			f.upstream.streamBy[engine] = func(ctx context.Context, s forward.Send) *forward.UpstreamResponse {
+				if stuck == "" {
+					stuck = engine
+				}
+				if stuck != engine {
+					return f.upstream.stream(ctx, s)
+				}
+				out, in := io.Pipe()
+				go func() {
+					for ctx.Err() == nil {
+						_, _ = io.WriteString(in, "id: 1\ndata: t\n\n")
+						time.Sleep(eventInterval)
+					}
+					_ = in.CloseWithError(ctx.Err())
+				}()
+				return &forward.UpstreamResponse{Status: 200, Body: out, Signed: true}
+			}
+		}
+		ids, err := readEvents(t, f.forwarder.Do(t.Context(), request("stream")))
+		is.NoErr(err)
+		is.Equal(ids, idsUpTo(eventCount))
+	})
+}
