forward, pipeline: refused callers return once lost layers can be back

Why this works: the planner tells the two apart; where every holder of a layer has failed, callers are told to return after 2 to 5 s, spread evenly. Full engines, also those that have just refused a stream, keep the short time, and the request is refused at once as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -146,7 +146,7 @@
 	if address == "" {
 		address = first.Address
 	}
-	s.f.Planner.Suspect(address, time.Now().Add(refusedExclusion))
+	s.f.Planner.SuspectBusy(address, time.Now().Add(refusedExclusion))
 }
 
 // suspectFailed excludes an engine that could not be reached from new paths for
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -23,6 +23,10 @@
 	// serve them at once, up to maxRetryAfter where capacity must be freed first.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 600 * time.Millisecond
+	// minRestoreRetryAfter and maxRestoreRetryAfter bound those where an engine must
+	// restart and load layers first.
+	minRestoreRetryAfter = 2 * time.Second
+	maxRestoreRetryAfter = 5 * time.Second
 	// otherHostRetryAfter is the time after which a caller may retry if only this
 	// host cannot serve it: this host lacks current configuration, not replicas.
 	otherHostRetryAfter = 20 * time.Millisecond
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -212,7 +212,7 @@
 	}
 	s.attempt.noCapacity = true
 	if e.Address != "" {
-		s.f.Planner.Suspect(e.Address, time.Now().Add(refusedExclusion))
+		s.f.Planner.SuspectBusy(e.Address, time.Now().Add(refusedExclusion))
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -113,18 +113,22 @@
 	switch {
 	case c.mayHaveRun:
 	case cause == causeNoPath:
-		s.logUnservedLayer()
-		return c.refuse(cause, randomDuration(minRetryAfter, maxRetryAfter))
+		return c.refuse(cause, s.retryAfterNoPath())
 	case cause == causeQuarantined:
 		return c.refuse(cause, s.quarantinedFor)
 	}
 	return c.giveUp(cause)
 }
 
-// logUnservedLayer logs the layer that no engine could run.
-func (s *stream) logUnservedLayer() {
-	layer, holders := s.f.Planner.UnservedLayer(s.f.Replicas.View(), s.pathRequest(), time.Now())
-	s.f.Log.Info("forward: no path for stream", "request", s.req.ID, "layer", layer, "engines", holders, "tokens", s.tokens())
+// retryAfterNoPath returns when the caller of a stream without a path should return. It
+// logs the layer that no engine could run.
+func (s *stream) retryAfterNoPath() time.Duration {
+	u := s.f.Planner.UnservedLayer(s.f.Replicas.View(), s.pathRequest(), time.Now())
+	s.f.Log.Info("forward: no path for stream", "request", s.req.ID, "layer", u.Layer, "engines", u.Holders, "full", u.Full, "tokens", s.tokens())
+	if u.Layer >= 0 && u.Full == 0 {
+		return randomDuration(minRestoreRetryAfter, maxRestoreRetryAfter)
+	}
+	return randomDuration(minRetryAfter, maxRetryAfter)
 }
 
 // startAttempt starts an attempt on the best path. It returns why it could not, or "".
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -6,6 +6,8 @@
 type suspicion struct {
 	since time.Time
 	until time.Time
+	// busy is set if the engine only lacked capacity.
+	busy bool
 }
 
 // report is the state that an engine last reported about itself.
@@ -80,15 +82,23 @@
 // slowThreshold is the slowness from which on streams are moved off an engine.
 const slowThreshold = 2
 
-// Suspect excludes an engine from new paths until the given time.
-func (p *Planner) Suspect(address string, until time.Time) {
+// Suspect excludes an engine that failed from new paths until the given time.
+func (p *Planner) Suspect(address string, until time.Time) { p.exclude(address, until, false) }
+
+// SuspectBusy excludes an engine that lacked capacity from new paths until the given
+// time.
+func (p *Planner) SuspectBusy(address string, until time.Time) { p.exclude(address, until, true) }
+
+func (p *Planner) exclude(address string, until time.Time, busy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(time.Now())
 	s, ok := p.suspects[address]
 	if !ok {
 		s.since = time.Now()
+		s.busy = busy
 	}
+	s.busy = s.busy && busy
 	if until.After(s.until) {
 		s.until = until
 	}
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -190,31 +190,43 @@
 	return q
 }
 
+// UnservedLayer is a layer that no engine can run for a stream.
+type UnservedLayer struct {
+	// Layer is its number, or -1 if there is no such layer.
+	Layer int
+	// Holders is the number of engines that hold it, and Full the number of those that
+	// only lack capacity. The others are suspected or avoided.
+	Holders int
+	Full    int
+}
+
 // UnservedLayer explains why there is no path. It returns the first layer that no
-// usable engine with capacity holds, and how many engines hold it but are full,
-// suspected or avoided. The layer is -1 if there is none.
-func (p *Planner) UnservedLayer(v *replica.View, req PathRequest, now time.Time) (layer, holderCount int) {
+// usable engine with capacity holds.
+func (p *Planner) UnservedLayer(v *replica.View, req PathRequest, now time.Time) UnservedLayer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	graphs := p.graphsFor(v, req)
 	q := p.query(graphs, req, hardUtilizationLimit, now)
-	holders, free := make([]int, req.Model.Layers), make([]bool, req.Model.Layers)
+	holders, full, free := make([]int, req.Model.Layers), make([]int, req.Model.Layers), make([]bool, req.Model.Layers)
 	for _, g := range graphs.byVersion {
 		for _, h := range g.Holdings() {
 			cost, usable := q.CostModel(&h)
 			_, fits := cost.Cost(route.Range{From: h.Layers.From, To: h.Layers.From + 1})
 			for l := h.Layers.From; l < h.Layers.To; l++ {
 				holders[l]++
+				if usable && !fits || p.suspects[h.Address].busy {
+					full[l]++
+				}
 				free[l] = free[l] || usable && fits && (l > 0 || q.CanStart == nil || q.CanStart(&h))
 			}
 		}
 	}
 	for l := range free {
 		if !free[l] {
-			return l, holders[l]
+			return UnservedLayer{Layer: l, Holders: holders[l], Full: full[l]}
 		}
 	}
-	return -1, 0
+	return UnservedLayer{Layer: -1}
 }
 
 // reserve counts a stream on the engines of its path until release is called.
--- a/pipeline/planner_test.go
+++ b/pipeline/planner_test.go
@@ -203,7 +203,7 @@
 		req := pipeline.PathRequest{Service: "s", Model: model(layers), Tokens: 10, Avoid: avoid}
 		r, _, err := p.Path(v, req, time.Now())
 		if err != nil {
-			if layer, _ := p.UnservedLayer(v, req, time.Now()); layer < 0 && pathExists(layers, all, avoid, 0, nil) {
+			if u := p.UnservedLayer(v, req, time.Now()); u.Layer < 0 && pathExists(layers, all, avoid, 0, nil) {
 				t.Fatalf("got %v, want a path through %v", err, all)
 			}
 			return
@@ -287,3 +287,30 @@
 	active.Untrack()
 	is.Equal(len(stalled.StallCandidates()), 3)
 }
+
+// A layer whose engines only lack capacity is told from one whose engines have failed.
+func TestUnservedLayerTellsFullFromFailedEngines(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		exclude func(p *pipeline.Planner, until time.Time)
+		full    int
+	}{
+		{"failed", func(p *pipeline.Planner, until time.Time) { p.Suspect("e1", until) }, 0},
+		{"busy", func(p *pipeline.Planner, until time.Time) { p.SuspectBusy("e1", until) }, 1},
+		{"busy, then failed", func(p *pipeline.Planner, until time.Time) {
+			p.SuspectBusy("e1", until)
+			p.Suspect("e1", until)
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			first, second := engine(0, "a", "fast", 0, 2), engine(1, "a", "fast", 2, 4)
+			p := planner()
+			c.exclude(p, time.Now().Add(time.Minute))
+			u := p.UnservedLayer(view(first, second), pipeline.PathRequest{Service: "s", Model: model(4), Tokens: 10}, time.Now())
+			is.Equal(u, pipeline.UnservedLayer{Layer: 2, Holders: 1, Full: c.full})
+		})
+	}
+}
