pipeline: a busy engine does not count as down

What could happen: an engine that refused streams for want of capacity was excluded from paths for 0.3 s at a time like one that had failed, and if that went on for 0.9 s the controller left it out of the placement and moved other engines to its layers.

TestBusyEngineIsNotDown failed before.

--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -94,11 +94,10 @@
 	defer p.mu.Unlock()
 	p.expire(time.Now())
 	s, ok := p.suspects[address]
-	if !ok {
+	if !ok || s.busy && !busy {
 		s.since = time.Now()
 		s.busy = busy
 	}
-	s.busy = s.busy && busy
 	if until.After(s.until) {
 		s.until = until
 	}
@@ -108,14 +107,14 @@
 // downAfter is how long an engine must have been suspected to count as down.
 const downAfter = 900 * time.Millisecond
 
-// Down reports whether an engine has been suspected without interruption for at
-// least downAfter.
+// Down reports whether an engine has been suspected of having failed without
+// interruption for at least downAfter.
 func (p *Planner) Down(address string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
 	s, ok := p.suspects[address]
-	return ok && now.Sub(s.since) >= downAfter
+	return ok && !s.busy && now.Sub(s.since) >= downAfter
 }
 
 // expire removes the suspicions and reports that are no longer used.
--- a/pipeline/planner_test.go
+++ b/pipeline/planner_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -314,3 +315,20 @@
 		})
 	}
 }
+
+// The controller moves layers off engines that are down, which a busy engine is not.
+func TestBusyEngineIsNotDown(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := planner()
+		until := time.Now().Add(time.Minute)
+		p.SuspectBusy("e1", until)
+		time.Sleep(2 * time.Second)
+		is.True(!p.Down("e1", time.Now()))
+		p.Suspect("e1", until)
+		is.True(!p.Down("e1", time.Now())) // only from now on
+		time.Sleep(2 * time.Second)
+		is.True(p.Down("e1", time.Now()))
+	})
+}
