ingresshttp, daemon/hosted: a stopping host waits until answers are written

What could happen: in a planned stop, a request that had just been answered by its replica was no longer counted, and if it was the last one the process could exit before the answer had been written to the caller, who saw a closed connection.

Cause: a request counted as in flight until the forwarder returned, and a plain answer is written after that. Requests that were still being read did not count either.

Why this works: a connection counts from the first byte of a request to the end of its response, as the HTTP server reports it. TestRequestIsActiveUntilItsAnswerIsWritten: the forwarder has returned, the caller has not read, and the request counts.

The native daemon was not concerned: it closes its server for callers gracefully.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -80,8 +80,6 @@
 
 	// replicasKnown is set once the replica list has been read.
 	replicasKnown atomic.Bool
-	// inFlight counts the requests in flight.
-	inFlight atomic.Int64
 	// stopping is set when a graceful stop begins, and never cleared.
 	stopping atomic.Bool
 	// closing is set when a stopping host no longer accepts requests, and never
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -56,7 +56,7 @@
 	h.quarantine = quarantine.New(quarantine.Options{UnprovenCrashLimit: unprovenCrashLimit, Publish: h.findings.publish, Log: h.log})
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
-	}, countingForwarder{h, forward.New(forward.Dependencies{
+	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Quarantine: h.quarantine,
 		Budget: forward.NewBudget(forward.BudgetOptions{
@@ -115,7 +115,7 @@
 		_, age := h.freshness.Fresh()
 		return age.Seconds()
 	})
-	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.inFlight.Load()) })
+	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_prompt_parts", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.logWriter.dropped.Load()) })
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 // watchedConn reads one byte ahead while it is watched, to detect a disconnect.
 type watchedConn struct {
 	net.Conn
+	// active is set while the connection has a request that is being read or answered.
+	active atomic.Bool
 
 	mu sync.Mutex
 	// readAhead is the byte that was read ahead, if hasReadAhead is set.
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -52,6 +53,8 @@
 	opts      Options
 	forwarder Forwarder
 	http      *fasthttp.Server
+	// active counts the connections with a request that is being read or answered.
+	active atomic.Int64
 }
 
 // NewServer returns a server. Cancelling ctx cancels the requests being served.
@@ -59,7 +62,7 @@
 	s := &Server{baseCtx: ctx, opts: opts, forwarder: next}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
@@ -73,6 +76,28 @@
 
 func (discardLogger) Printf(string, ...any) {}
 
+// Active returns the number of requests that are being read or answered. A request counts
+// until its response has been passed to the network.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// trackState counts a connection as active from the first byte of a request to the end
+// of its response.
+func (s *Server) trackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*watchedConn)
+	if !ok {
+		return
+	}
+	active := state == fasthttp.StateActive
+	if conn.active.Swap(active) == active {
+		return
+	}
+	if active {
+		s.active.Add(1)
+		return
+	}
+	s.active.Add(-1)
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(Listener{ln}) }
 
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -52,15 +53,19 @@
 	}
 }
 
-func serve(t *testing.T, h *recordingForwarder, stopping func() bool) string {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	s := ingresshttp.NewServer(ctx, ingresshttp.Options{
+func newServer(ctx context.Context, h *recordingForwarder, stopping func() bool) *ingresshttp.Server {
+	return ingresshttp.NewServer(ctx, ingresshttp.Options{
 		DecodeHeader: func(hd *fasthttp.RequestHeader) forward.Request {
 			return forward.Request{ID: string(hd.Peek("X-Id"))}
 		},
 		IsForwarded: func(name string) bool { return name != "X-Own" }, Stopping: stopping, Log: slog.New(slog.DiscardHandler),
 	}, h)
+}
+
+func serve(t *testing.T, h *recordingForwarder, stopping func() bool) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newServer(ctx, h, stopping)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -291,3 +296,54 @@
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(resp.Header.Get("Retry-After"), "0.250")
 }
+
+// pipeListener accepts connections whose writes block until the peer reads.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A stopping host that exits once its forwarder has returned would cut off the answers
+// that are still being written.
+func TestRequestIsActiveUntilItsAnswerIsWritten(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &recordingForwarder{respond: respondWith(200, "stock")}
+		s := newServer(t.Context(), h, func() bool { return false })
+		ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ln) }()
+		client, server := net.Pipe()
+		ln.conns <- server
+		is.Equal(s.Active(), int64(0))
+		_, err := io.WriteString(client, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(len(h.requests()), 1) // the forwarder has returned
+		is.Equal(s.Active(), int64(1))
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "stock")
+		synctest.Wait()
+		is.Equal(s.Active(), int64(0))
+		is.NoErr(client.Close())
+		is.NoErr(ln.Close())
+		<-done
+		time.Sleep(time.Minute) // the server's workers end
+	})
+}
