ingresshttp: a slow but sound stream is not cut after 90 s

What could happen: a stream of which the caller read every event was cut 90 s after its start, if its rule allows it to last that long.

Cause: the write timeout applied to the whole response. Why this works: it applies to each write, and is now 30 s: a caller that accepts nothing for that long is cut, one that reads slowly is not. TestSlowStreamIsNotCut (30 events in 300 s) failed before.

--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -49,6 +49,15 @@
 	return c.Conn.Read(p)
 }
 
+// Write writes to the connection. The timeout applies to each write, as a stream may take
+// longer in total.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // watch calls onClose if the peer closes the connection before unwatch is called. It
 // reads one byte for that, so a disconnect after the first byte of a pipelined request
 // goes unnoticed.
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -22,8 +22,8 @@
 	readTimeout = 20 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 75 * time.Second
-	// writeTimeout limits writing a response.
-	writeTimeout   = 90 * time.Second
+	// writeTimeout limits how long a caller may take to accept more bytes of a response.
+	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 8 << 20
 )
@@ -62,7 +62,7 @@
 	s := &Server{baseCtx: ctx, opts: opts, forwarder: next}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -347,3 +347,40 @@
 		time.Sleep(time.Minute) // the server's workers end
 	})
 }
+
+// A stream that makes progress may last longer than the timeout of a write.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const events, interval = 30, 10 * time.Second
+		body, in := io.Pipe()
+		h := &recordingForwarder{respond: func(context.Context) *forward.Response {
+			return &forward.Response{Status: 200, Body: body, Streaming: true}
+		}}
+		s := newServer(t.Context(), h, func() bool { return false })
+		ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ln) }()
+		client, server := net.Pipe()
+		ln.conns <- server
+		_, err := io.WriteString(client, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		is.NoErr(err)
+		go func() {
+			for range events {
+				time.Sleep(interval)
+				_, _ = io.WriteString(in, "data: t\n\n")
+			}
+			_ = in.Close()
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		is.NoErr(err)
+		text, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(strings.Count(string(text), "data: t"), events)
+		is.NoErr(client.Close())
+		is.NoErr(ln.Close())
+		<-done
+		time.Sleep(time.Minute) // the server's workers end
+	})
+}
