--- a/rule/parse_test.go
+++ b/rule/parse_test.go
@@ -25,6 +25,7 @@
 limits customer=puebla rate=40 burst=80 # o: w                                 ### 1:1: got verb "limits", did you mean "limit"?
 limit custmer=puebla rate=40 burst=80 # o: w                                   ### 1:1: got limit without customer, want customer=...; 1:7: got key "custmer", did you mean "customer"?
 limit customer=puebla rate=fast burst=80 # o: w                                ### 1:28: got "fast", want a number above 0 and at most 1e9
+limit customer=puebla rate=NaN/s burst=NaN # o: w                              ### 1:28: got "NaN/s", want a number above 0 and at most 1e9; 1:40: got "NaN", want a number above 0 and at most 1e9
 limit customer=puebla rate=-1 burst=0 # o: w                                   ### 1:28: got "-1", want a number above 0 and at most 1e9; 1:37: got "0", want a number above 0 and at most 1e9
 limit customer=puebla rate=4 rate=5 burst=80 # o: w                            ### 1:30: got rate twice, want it once
 limit customer=puebla rate burst=80 # o: w                                     ### 1:1: got limit without rate, want rate=...; 1:23: got rate, want key=value
--- a/rule/verb.go
+++ b/rule/verb.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -162,7 +163,7 @@
 // 40/s.
 func parsePositive(text string) (value, string) {
 	n, err := strconv.ParseFloat(strings.TrimSuffix(text, "/s"), 64)
-	if err != nil || n <= 0 || n > 1e9 {
+	if err != nil || math.IsNaN(n) || n <= 0 || n > 1e9 {
 		return value{}, fmt.Sprintf("got %q, want a number above 0 and at most 1e9", text)
 	}
 	return value{number: n}, ""
