loop: TestEvery reads its counter after the loop has settled

KNOWN-RED: a data race between the test and the loop under the race detector, on the test's own counter.

--- a/loop/every_test.go
+++ b/loop/every_test.go
@@ -19,6 +19,7 @@
 		calls := 0
 		done := loop.Every(ctx, time.Second, func(context.Context) { calls++ })
 		time.Sleep(2500 * time.Millisecond)
+		synctest.Wait()
 		is.Equal(calls, 3) // at 0, 1 and 2 s
 		cancel()
 		is.NoErr(<-done)
