daemon: bound the send buffer of a caller's connection

KNOWN-RED, TestASlowCallerHoldsItsEngineUp: beside a load the kernel grew the send buffer of a caller who does not read until it held the whole answer of 592,700 bytes, so the engine was not held up. The test is right: kernel memory is the host's memory too, and tcp_wmem allows 4 MB for each such caller.

Why this works: a fixed size ends the automatic growth; 64 KB are many round trips of tokens.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -189,10 +189,31 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	go func() { s.failed <- s.callerApp.Listener(ln, listenConfig) }()
+	go func() { s.failed <- s.callerApp.Listener(callerListener{ln}, listenConfig) }()
 	return nil
 }
 
+// callerSendBufferBytes is the kernel's send buffer of a caller's connection. Without a
+// limit it grows to megabytes, so that a caller who does not read holds up memory of the
+// host instead of the engine that generates the answer.
+const callerSendBufferBytes = 64 << 10
+
+// callerListener limits the send buffers of the connections that it accepts.
+type callerListener struct{ net.Listener }
+
+// Accept waits for the next connection and returns it.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		// It fails only if the connection has ended, which the first read reports.
+		_ = c.SetWriteBuffer(callerSendBufferBytes)
+	}
+	return conn, nil
+}
+
 func (d *Daemon) serveOperators(s *servers) error {
 	s.operatorApp = operator.NewApp(d)
 	ln, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
