--- /dev/null
+++ b/completion/fixture_test.go
@@ -0,0 +1,29 @@
+package completion_test
+
+import (
+	"log/slog"
+	"time"
+
+	"bulrushshed/completion"
+	"bulrushshed/quarantine"
+)
+
+// fakes implements all that a runner uses, apart from the quarantine.
+type fakes interface {
+	completion.Engines
+	completion.Planner
+	completion.Canceller
+	completion.Counter
+}
+
+func newRunner(f fakes, attempts int, routeWait time.Duration) *completion.Runner {
+	return completion.NewRunner(completion.Options{
+		FirstTokenTimeout: 10 * time.Second, TokenTimeout: 5 * time.Second, ProbeAfter: 250 * time.Millisecond,
+		ProbeTimeout: 250 * time.Millisecond, MaxAttempts: attempts, RouteRetryInterval: 50 * time.Millisecond, RouteWait: routeWait,
+	}, completion.Dependencies{
+		Engines: f, Planner: f, Canceller: f, Counter: f, Log: slog.New(slog.DiscardHandler),
+		Quarantine: quarantine.New(quarantine.Options{
+			UnprovenCrashLimit: 2, Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
+		}),
+	})
+}
--- /dev/null
+++ b/daemon/hosted/replica_standin_test.go
@@ -0,0 +1,150 @@
+package hosted_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// replicaStandIn is a simple stand-in for a replica. With an accelerator kind
+// it is an engine, which lists the layers that it is ordered to hold; without
+// one it is a plain service.
+type replicaStandIn struct {
+	store  *store
+	id     string
+	kind   string
+	server *httptest.Server
+
+	mu sync.Mutex
+	// orders holds the bodies of the orders received.
+	orders []string
+	// credentials holds, for each call of the plain service, the values of its
+	// Authorization and tenant headers.
+	credentials []string
+	state       string
+	// eventInterval is the time between events of a stream.
+	eventInterval time.Duration
+	// deadlyPart is a prompt part that crashes the engine, or "". downUntil is when it
+	// is back after the last crash, and crashes counts them.
+	deadlyPart string
+	downUntil  time.Time
+	crashes    int
+}
+
+// engineRestartTime is how long an engine is down after a crash.
+const engineRestartTime = 200 * time.Millisecond
+
+// crash reports whether the engine is down or crashes on a request.
+func (r *replicaStandIn) crash(req *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.deadlyPart != "" && strings.Contains(req.Header.Get("X-Bulrushshed-Prompt-Prefix"), r.deadlyPart) && now.After(r.downUntil) {
+		r.downUntil = now.Add(engineRestartTime)
+		r.crashes++
+	}
+	return now.Before(r.downUntil)
+}
+
+func (r *replicaStandIn) crashCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
+func newReplica(t *testing.T, s *store, id, service, kind string) *replicaStandIn {
+	r := &replicaStandIn{store: s, id: id, kind: kind, state: "ready", eventInterval: time.Millisecond}
+	r.server = httptest.NewServer(r)
+	t.Cleanup(r.server.Close)
+	r.publish(service, 0, 0)
+	return r
+}
+
+func (r *replicaStandIn) address() string { return strings.TrimPrefix(r.server.URL, "http://") }
+
+func (r *replicaStandIn) publish(service string, from, to int) {
+	r.store.put("keyed.servers", r.id, map[string]any{
+		"service": service, "address": r.address(), "zone": "a", "slots": 8, "state": r.state, "born": 1, "kind": r.kind,
+		"layers": map[string]int{"from": from, "target": to, "version": 1},
+	})
+}
+
+// drain lists the replica as draining.
+func (r *replicaStandIn) drain(service string) {
+	r.state = "draining"
+	r.publish(service, 0, 0)
+}
+
+// callCount returns how many calls the replica received as a plain service.
+func (r *replicaStandIn) callCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.credentials)
+}
+
+func (r *replicaStandIn) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.crash(req) {
+		panic(http.ErrAbortHandler)
+	}
+	if req.Header.Get("X-Bulrushshed-Expect-Instance") != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case req.URL.Path == "/api/order":
+		r.order(w, req)
+	case req.URL.Path == "/api/report":
+		_, _ = io.WriteString(w, `{"sequence":1,"pace":1,"kv_total":100}`)
+	case req.Header.Get("X-Bulrushshed-Hop-Count") != "":
+		r.stream(w, req)
+	default:
+		r.mu.Lock()
+		r.credentials = append(r.credentials, req.Header.Get("Authorization")+req.Header.Get("X-Bulrushshed-Tenant"))
+		r.mu.Unlock()
+		r.writeSignatureHeaders(w, req)
+		_, _ = io.WriteString(w, "stock")
+	}
+}
+
+func (r *replicaStandIn) writeSignatureHeaders(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("X-Bulrushshed-Server-Seal", r.id)
+	w.Header().Set("X-Bulrushshed-Attempt-Id", req.Header.Get("X-Bulrushshed-Attempt-Id"))
+}
+
+func (r *replicaStandIn) order(w http.ResponseWriter, req *http.Request) {
+	var in struct {
+		From   int `json:"from"`
+		Target int `json:"target"`
+	}
+	text, _ := io.ReadAll(req.Body)
+	_ = json.Unmarshal(text, &in)
+	r.mu.Lock()
+	r.orders = append(r.orders, string(text))
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusAccepted)
+	r.publish("model", in.From, in.Target)
+}
+
+func (r *replicaStandIn) stream(w http.ResponseWriter, req *http.Request) {
+	r.writeSignatureHeaders(w, req)
+	for id := 1; id <= 20; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: t\n\n", id)
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		time.Sleep(r.eventInterval)
+	}
+}
+
+func (r *replicaStandIn) receivedOrders() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.orders)
+}
--- /dev/null
+++ b/forward/resume.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"maps"
+	"time"
+
+	"bulrushshed/pipeline"
+)
+
+// retryAfterNoPath returns when the caller of a stream without a path should return. It
+// logs the layer that no engine could run.
+func (s *stream) retryAfterNoPath() time.Duration {
+	u := s.f.Planner.UnservedLayer(s.f.Replicas.View(), s.pathRequest(), time.Now())
+	s.f.Log.Info("forward: no path for stream", "request", s.req.ID, "layer", u.Layer, "engines", u.Holders, "full", u.Full, "tokens", s.tokens())
+	if u.Layer >= 0 && u.Full == 0 {
+		return randomDuration(minRestoreRetryAfter, maxRestoreRetryAfter)
+	}
+	return randomDuration(minRetryAfter, maxRetryAfter)
+}
+
+// startAttempt starts an attempt on the best path. It returns why it could not, or "".
+func (s *stream) startAttempt() (cause string) {
+	if cause := s.whyBlocked(); cause != "" {
+		return cause
+	}
+	if s.sends > 0 && !s.retryCharged && !s.f.Budget.AllowRetry(s.service.Name, time.Now()) {
+		return causeBudget
+	}
+	s.retryCharged = false
+	v := s.f.Replicas.View()
+	path, release, err := s.f.Planner.Path(v, s.pathRequest(), time.Now())
+	if err != nil {
+		return causeNoPath
+	}
+	first, ok := v.ByAddress(path.Hops[0].Address)
+	if !ok {
+		release()
+		return causeNoPath
+	}
+	s.sends++
+	s.launch(first, path, release)
+	return ""
+}
+
+// pathRequest returns the requirements of the stream for a path.
+func (s *stream) pathRequest() pipeline.PathRequest { return s.pathRequestAfter(s.ran) }
+
+// pathRequestAfter returns the requirements of the stream for a path after the given
+// replicas have run it. Once as many have as the rule allows attempts, only one of
+// them may receive it again.
+func (s *stream) pathRequestAfter(ran map[string]bool) pipeline.PathRequest {
+	req := pipeline.PathRequest{Service: s.service.Name, Model: s.service.Model, Tokens: s.tokens(), Avoid: maps.Clone(s.tried)}
+	if len(ran) < s.rule.MaxAttempts {
+		return req
+	}
+	req.FirstHops = ran
+	for address := range ran {
+		delete(req.Avoid, address)
+	}
+	if len(ran) > 1 && s.lastFirstHop != "" {
+		req.Avoid[s.lastFirstHop] = true
+	}
+	return req
+}
+
+// whyBlocked returns why no attempt may start now, or "".
+func (s *stream) whyBlocked() string {
+	if err := s.reauthorize(); err != nil {
+		return err.Error()
+	}
+	switch {
+	case s.ctx.Err() != nil || time.Until(s.deadline) < minRemaining:
+		return causeDeadline
+	case s.sends >= s.rule.MaxAttempts+extraSends, s.unreachable > maxUnreachable:
+		return causeAttempts
+	case len(s.ran) > 0 && !s.rule.Resumable:
+		return "not_resumable"
+	}
+	return s.whyQuarantined()
+}
+
+// resume continues the stream after the last event by a new attempt on another path.
+// It returns why it could not, or "".
+func (s *stream) resume(resumeCause string) (cause string) {
+	broken := s.attempt
+	s.observeCrash(resumeCause)
+	s.endAttempt()
+	s.lastFirstHop = broken.first.Address
+	if resumeCause != causeRefused {
+		s.tried[s.lastFirstHop] = true
+	}
+	s.f.Counter.Resumed(resumeCause)
+	s.f.Log.Info("forward: attempt failed, resuming stream", "request", s.req.ID, "cause", resumeCause, "replica", broken.first.ID,
+		"last_event", s.lastID, "sends", s.sends, "ran", len(s.ran), "events", broken.events, "error", errorText(broken.err), "parts", formatParts(s.req.SharedParts))
+	for {
+		cause = s.startAttempt()
+		if cause != causeNoPath && cause != causeBudget || !s.canAwaitPath() {
+			return cause
+		}
+		select {
+		case <-time.After(resumeInterval):
+		case <-s.ctx.Done():
+			return causeDeadline
+		}
+	}
+}
+
+// canAwaitPath reports whether a stream that its caller is reading may pause longer
+// until a path has capacity, which is better than breaking it off.
+func (s *stream) canAwaitPath() bool {
+	return !s.lastEventAt.IsZero() && time.Since(s.lastEventAt) < resumeTimeout
+}
+
+// endAttempt ends the running attempt. If its send has had no result yet, the replica
+// may have run the request.
+func (s *stream) endAttempt() {
+	if s.attempt == nil {
+		return
+	}
+	if !s.attempt.headReceived {
+		s.markMayHaveRun(s.attempt.first)
+	}
+	s.attempt.stop()
+	s.attempt = nil
+}
