forward: a running stream waits until a held part of its prompt is cleared

What could happen: a stream that its caller is reading, and whose engine crashes while a sound part of its prompt is held, ended at once, although another answer mostly clears such a part within a second. TestRunningStreamWaitsUntilItsPartIsCleared failed before. A request that crashes engines has received no event and does not wait.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -88,3 +89,41 @@
 		is.Equal(served, rounds)
 	})
 }
+
+// A running stream breaks off while a part of its prompt is held, and the answer to another
+// request clears the part.
+func TestRunningStreamWaitsUntilItsPartIsCleared(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const part = 0xa1
+		f := newFixture(10)
+		attempts := 0
+		for _, engine := range []string{"e0", "e1"} {
+			f.upstream.streamBy[engine] = func(ctx context.Context, s forward.Send) *forward.UpstreamResponse {
+				if attempts++; attempts > 1 {
+					return f.upstream.stream(ctx, s)
+				}
+				out, in := io.Pipe()
+				go func() {
+					_, _ = io.WriteString(in, "id: 1\ndata: t\n\n")
+					time.Sleep(100 * time.Millisecond)
+					_ = in.CloseWithError(io.ErrUnexpectedEOF)
+				}()
+				return &forward.UpstreamResponse{Status: 200, Body: out, Signed: true}
+			}
+		}
+		req := request("stream")
+		req.SharedParts = []uint64{part}
+		resp := f.forwarder.Do(t.Context(), req)
+		for _, engine := range []string{"x", "y"} {
+			f.forwarder.Quarantine.RecordCrash([]uint64{part}, engine, time.Now())
+		}
+		time.AfterFunc(time.Second, func() {
+			f.forwarder.Quarantine.RecordSuccess([]uint64{part}, time.Now(), time.Now())
+		})
+		ids, err := readEvents(t, resp)
+		is.NoErr(err)
+		is.Equal(ids, idsUpTo(eventCount))
+	})
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -94,7 +94,7 @@
 		"last_event", s.lastID, "sends", s.sends, "ran", len(s.ran), "events", broken.events, "error", errorText(broken.err), "parts", formatParts(s.req.SharedParts))
 	for {
 		cause = s.startAttempt()
-		if cause != causeNoPath && cause != causeBudget || !s.canAwaitPath() {
+		if !mayPass(cause) || !s.canAwaitPath() {
 			return cause
 		}
 		select {
@@ -105,6 +105,11 @@
 	}
 }
 
+// mayPass reports whether a reason not to start an attempt may soon be gone.
+func mayPass(cause string) bool {
+	return cause == causeNoPath || cause == causeBudget || cause == causeQuarantined
+}
+
 // canAwaitPath reports whether a stream that its caller is reading may pause longer
 // until a path has capacity, which is better than breaking it off.
 func (s *stream) canAwaitPath() bool {
