daemon/hosted, forward: the first requests of a host wait for findings

Cause: the other hosts accept a new one only as a member of the group, and a member shows only once the others have given up partitions for it, at their next heartbeats.

TestFirstRequestsOfAHost- WaitForFindings fails without the wait; TestFirstRequestsWaitOnlyShortly.

--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -23,9 +23,11 @@
 	// with another one.
 	digestInterval = 3 * time.Second
 	// startupInterval is the interval at which a host that has just started asks others
-	// for their findings until one replies, for at most startupTimeout.
+	// for their findings until one replies, for at most startupTimeout. startupWait is
+	// how long its first requests wait for the reply.
 	startupInterval = 100 * time.Millisecond
 	startupTimeout  = 5 * time.Second
+	startupWait     = 400 * time.Millisecond
 	// exchangeTimeout bounds one exchange. It leaves time to set up a connection.
 	exchangeTimeout = 800 * time.Millisecond
 	// maxExchangeBytes limits the items in one exchange. A host passes each item on
@@ -41,20 +43,26 @@
 	table *gossip.Table
 	// added signals that the table may have items to pass on.
 	added chan struct{}
-	// sends counts the exchanges that are running. replied is set once another host has
-	// replied to one.
-	sends   sync.WaitGroup
-	replied atomic.Bool
+	// sends counts the exchanges that are running.
+	sends sync.WaitGroup
+	// replied is set once another host has replied to an exchange. known is closed then,
+	// or when requests no longer wait for that.
+	replied   atomic.Bool
+	known     chan struct{}
+	closeOnce sync.Once
 }
 
 func newFindings(h *Host) *findings {
 	return &findings{
 		host:  h,
 		table: gossip.NewTable(gossip.Options{Self: h.group.memberName, MaxBytes: maxExchangeBytes, RetransmitFactor: retransmitFactor}),
-		added: make(chan struct{}, 1),
+		added: make(chan struct{}, 1), known: make(chan struct{}),
 	}
 }
 
+// markKnown lets the requests pass that wait for the findings of other hosts.
+func (f *findings) markKnown() { f.closeOnce.Do(func() { close(f.known) }) }
+
 // publish sends a finding of this host to the others.
 func (f *findings) publish(finding quarantine.Finding) {
 	f.table.Put(finding.Item(), time.Now())
@@ -118,13 +126,17 @@
 // not accept this host before they know that it is a member.
 func (f *findings) catchUp(ctx context.Context) {
 	select {
-	case <-f.host.group.membersRead:
+	case <-f.host.group.joined:
 	case <-ctx.Done():
 	}
+	defer f.markKnown()
+	defer time.AfterFunc(startupWait, f.markKnown).Stop()
+	started := time.Now()
 	for end := time.Now().Add(startupTimeout); !f.replied.Load() && time.Now().Before(end) && ctx.Err() == nil; {
 		f.compareDigests(ctx, gossipFanout)
 		loop.SleepContext(ctx, startupInterval)
 	}
+	f.host.log.Info("gossip: findings of other hosts requested", "replied", f.replied.Load(), "took_ms", time.Since(started).Milliseconds(), "items", f.table.Len())
 }
 
 // partners returns the addresses of the hosts that this one exchanges with, and the
@@ -178,6 +190,7 @@
 			defer cancel()
 			if f.exchanger().Send(ctx, address, x) {
 				f.replied.Store(true)
+				f.markKnown()
 			}
 		})
 	}
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -59,7 +59,9 @@
 	host *Host
 	// memberName is this host's name in the group.
 	memberName string
-	// membersRead is closed after the first attempt to read the members.
+	// joined is closed once this host has tried to join the group and to read its
+	// members for the first time, and membersRead once it has read them again.
+	joined      chan struct{}
 	membersRead chan struct{}
 	// unknownPin signals that a host has connected that is not known as a member.
 	unknownPin chan struct{}
@@ -90,7 +92,7 @@
 		Address: h.cfg.CallerAddress, FailureDomain: h.cfg.FailureDomain, PeerAddress: h.cfg.PeerAddress, Pin: pin,
 		Capacity: h.cfg.ProcessorShare * h.cfg.LinkMbps,
 	}
-	return &group{host: h, memberName: self.memberName(time.Now()), membersRead: make(chan struct{}), unknownPin: make(chan struct{}, 1)}
+	return &group{host: h, memberName: self.memberName(time.Now()), joined: make(chan struct{}), membersRead: make(chan struct{}), unknownPin: make(chan struct{}, 1)}
 }
 
 // run joins the group once the host can serve, and maintains the membership
@@ -101,7 +103,10 @@
 		for t, _ := g.host.Table(); t == nil && ctx.Err() == nil; t, _ = g.host.Table() {
 			loop.SleepContext(ctx, readyPollInterval)
 		}
-		g.join()
+		if generation, ok := g.join(); ok {
+			g.readMembers(generation)
+		}
+		close(g.joined)
 		// Let the hosts that started at the same time join before the members are
 		// read.
 		loop.SleepContext(ctx, startupJoinDelay)
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -58,7 +58,7 @@
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
-		Quarantine: h.quarantine,
+		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * retryBudgetFraction, Extra: cfg.RetryExtra * retryBudgetFraction, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
 			StartedAt: time.Now(),
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"bulrushshed/forward"
+	"bulrushshed/quarantine"
 )
 
 // crashes is a prompt part that crashes each engine that begins to answer a request
@@ -127,3 +129,50 @@
 		is.Equal(ids, idsUpTo(eventCount))
 	})
 }
+
+// A host that has just started learns which parts crash engines while its first requests
+// wait.
+func TestFirstRequestsOfAHostWaitForFindings(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const deadly, sound = 0xdead, 0xa1
+		f := newFixture(10)
+		known := make(chan struct{})
+		f.forwarder.FindingsKnown = known
+		send := func(part uint64) chan int {
+			status := make(chan int, 1)
+			go func() {
+				req := request("stream")
+				req.ID, req.SharedParts = fmt.Sprint("request-", part), []uint64{part}
+				resp := f.forwarder.Do(t.Context(), req)
+				defer func() { _ = resp.Body.Close() }()
+				status <- resp.Status
+			}()
+			return status
+		}
+		refused, served := send(deadly), send(sound)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(f.upstream.sent()), 0)
+		f.forwarder.Quarantine.Merge(quarantine.Finding{Kind: quarantine.KindCrash, Part: deadly, Generation: 1, Subject: "e9"}, time.Now())
+		close(known)
+		is.Equal(<-refused, http.StatusServiceUnavailable)
+		is.Equal(<-served, http.StatusOK)
+		is.Equal(len(f.upstream.sent()), 1)
+	})
+}
+
+// A host whose peers do not reply serves all the same.
+func TestFirstRequestsWaitOnlyShortly(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10)
+		f.forwarder.FindingsKnown = make(chan struct{})
+		req := request("stream")
+		req.SharedParts = []uint64{1}
+		resp := f.forwarder.Do(t.Context(), req)
+		is.Equal(resp.Status, http.StatusOK)
+		is.NoErr(resp.Body.Close())
+	})
+}
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -26,6 +26,8 @@
 	replicas  *replica.List
 	upstream  *upstream
 	tables    *tables
+	// findingsKnown is the closed channel forward.Dependencies.FindingsKnown.
+	findingsKnown chan struct{}
 }
 
 // tables is a forward.Tables whose configuration a test changes.
@@ -97,10 +99,13 @@
 		f.replicas.Put(replica.Replica{ID: id, Service: "plain", Address: id, FailureDomain: "a", Started: 1})
 	}
 	hosts := func() int { return 1 }
+	f.findingsKnown = make(chan struct{})
+	close(f.findingsKnown)
 	f.forwarder = forward.New(forward.Dependencies{
 		Tables: f.tables, Replicas: f.replicas, Picker: replica.NewPicker("a"),
-		Planner:  pipeline.NewPlanner(pipeline.Options{FailureDomain: "a", LocalHosts: hosts}),
-		Progress: pipeline.NewProgressTracker(),
+		Planner:       pipeline.NewPlanner(pipeline.Options{FailureDomain: "a", LocalHosts: hosts}),
+		Progress:      pipeline.NewProgressTracker(),
+		FindingsKnown: f.findingsKnown,
 		Quarantine: quarantine.New(quarantine.Options{
 			UnprovenCrashLimit: 1, Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
 		}),
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -69,10 +69,13 @@
 	Progress *pipeline.ProgressTracker
 	// Quarantine tracks the prompt parts that crash engines.
 	Quarantine *quarantine.Tracker
-	Upstream   Upstream
-	Budget     *Budget
-	Counter    Counter
-	Log        *slog.Logger
+	// FindingsKnown is closed once Quarantine has the findings of other hosts, or will
+	// not get them soon.
+	FindingsKnown <-chan struct{}
+	Upstream      Upstream
+	Budget        *Budget
+	Counter       Counter
+	Log           *slog.Logger
 }
 
 // Forwarder serves requests of callers. It is safe for concurrent use.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -92,6 +92,7 @@
 	if n, err := strconv.ParseInt(c.req.LastEvent, 10, 64); err == nil {
 		s.lastID = n
 	}
+	s.awaitFindings()
 	cause := s.startAttempt()
 	if cause == "" {
 		var e event
