daemon/hosted, platform: findings in the store for hosts that start

Why this works: a new host reads the configuration from the store before it serves, so it can read the findings there as well; its first requests wait for that. Between running hosts the store is not used for this, so its outages change nothing there.

TestNewHostLearnsOfCrashesFromTheStore and TestExpiredFindingsAreDeletedFromTheStore fail without the read.

--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -41,6 +41,7 @@
 type findings struct {
 	host  *Host
 	table *gossip.Table
+	store *findingStore
 	// added signals that the table may have items to pass on.
 	added chan struct{}
 	// sends counts the exchanges that are running.
@@ -53,9 +54,9 @@
 }
 
 func newFindings(h *Host) *findings {
+	table := gossip.NewTable(gossip.Options{Self: h.group.memberName, MaxBytes: maxExchangeBytes, RetransmitFactor: retransmitFactor})
 	return &findings{
-		host:  h,
-		table: gossip.NewTable(gossip.Options{Self: h.group.memberName, MaxBytes: maxExchangeBytes, RetransmitFactor: retransmitFactor}),
+		host: h, table: table, store: newFindingStore(h, table),
 		added: make(chan struct{}, 1), known: make(chan struct{}),
 	}
 }
@@ -66,6 +67,7 @@
 // publish sends a finding of this host to the others.
 func (f *findings) publish(finding quarantine.Finding) {
 	f.table.Put(finding.Item(), time.Now())
+	f.store.add(finding)
 	f.signal()
 }
 
@@ -103,6 +105,7 @@
 	go func() {
 		defer func() { done <- nil }()
 		defer f.sends.Wait()
+		f.readStore(ctx)
 		f.catchUp(ctx)
 		ticker := time.NewTicker(digestInterval)
 		defer ticker.Stop()
@@ -122,6 +125,18 @@
 	return done
 }
 
+// readStore merges the findings in the store.
+func (f *findings) readStore(ctx context.Context) {
+	items, err := f.store.read()
+	if err != nil {
+		f.host.log.Info("gossip: reading findings from the store failed, asking other hosts only", "cause", err.Error())
+		return
+	}
+	f.host.log.Info("gossip: findings read from the store", "items", len(items))
+	f.apply(ctx, f.table.Merge(items, time.Now()), "")
+	f.markKnown()
+}
+
 // catchUp asks other hosts for their findings until one of them has replied. They do
 // not accept this host before they know that it is a member.
 func (f *findings) catchUp(ctx context.Context) {
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -121,6 +121,7 @@
 		h.follow(loopCtx, h.replicaSubscription()),
 		h.group.run(loopCtx),
 		h.findings.run(loopCtx),
+		loop.Every(loopCtx, storeDelay, h.findings.store.write),
 		loop.Every(loopCtx, controlInterval, h.controller.placeAll),
 		loop.Every(loopCtx, cleanupInterval, h.cleanUp),
 	}
--- a/daemon/hosted/quarantine_test.go
+++ b/daemon/hosted/quarantine_test.go
@@ -1,9 +1,12 @@
 package hosted_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 )
 
@@ -89,3 +92,40 @@
 		f.sendDeadly(t, h)
 	}
 }
+
+// A host that starts while the other ones do not accept it yet, or are gone, learns of
+// crashes from the store.
+func TestNewHostLearnsOfCrashesFromTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleetWithDeadlyPart(t, 1)
+	f.sendDeadly(t, f.hosts[0])
+	await(t, "finding in the store", func() bool {
+		return slices.ContainsFunc(f.store.keys("keyed.findings"), func(key string) bool { return strings.Contains(key, deadlyPart) })
+	})
+	f.hosts[0].stop()
+	is.NoErr(<-f.hosts[0].done)
+	f.hosts[0].done <- nil
+	for i := range maxEngineCrashes {
+		h := f.start(t, 1+i)
+		f.sendDeadly(t, h)
+		h.stop()
+		is.NoErr(<-h.done)
+		h.done <- nil
+	}
+}
+
+// Findings that have expired or are malformed are deleted, so that the topic does not grow.
+func TestExpiredFindingsAreDeletedFromTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 0)
+	expired, err := cbor.Marshal(map[string]any{"stamp": 1, "written_at_ms": time.Now().Add(-time.Hour).UnixMilli()})
+	is.NoErr(err)
+	current, err := cbor.Marshal(map[string]any{"stamp": 1, "written_at_ms": time.Now().UnixMilli()})
+	is.NoErr(err)
+	keep := "part/b1/crash/1/e9"
+	f.store.appendRecords("keyed.findings", record{"part/a1/crash/1/e9", string(expired)}, record{"part/a2/crash/1/e9", "malformed"}, record{keep, string(current)})
+	awaitServed(t, f.start(t, 0))
+	await(t, "only the current finding", func() bool { return slices.Equal(f.store.keys("keyed.findings"), []string{keep}) })
+}
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // store is a simple stand-in for the platform's store.
@@ -132,6 +135,7 @@
 	s := &store{topics: map[string][]record{}, changed: make(chan struct{}), waiting: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/log-newest", s.newest)
+	mux.HandleFunc("POST /api/log-append", s.append)
 	mux.HandleFunc("GET /api/log-read", s.read)
 	mux.HandleFunc("POST /api/log-join", s.join)
 	mux.HandleFunc("POST /api/log-leave", s.leave)
@@ -159,13 +163,43 @@
 			panic(err)
 		}
 	}
+	s.appendRecords(topic, record{key: key, value: string(text)})
+}
+
+// append serves an append.
+func (s *store) append(_ http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var records []record
+	for len(body) > 4 {
+		size := int(binary.BigEndian.Uint32(body))
+		rec := body[4 : 4+size]
+		key := int(rec[0])
+		records = append(records, record{key: string(rec[1 : 1+key]), value: string(rec[1+key:])})
+		body = body[4+size:]
+	}
+	s.appendRecords(r.URL.Query().Get("topic"), records...)
+}
+
+// appendRecords appends records to a topic.
+func (s *store) appendRecords(topic string, records ...record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topics[topic] = append(s.topics[topic], record{key: key, value: string(text)})
+	s.topics[topic] = append(s.topics[topic], records...)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// keys returns the keys of a topic that have a value.
+func (s *store) keys(topic string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := map[string]string{}
+	for _, r := range s.topics[topic] {
+		values[r.key] = r.value
+	}
+	return slices.Collect(maps.Keys(lo.PickBy(values, func(_, value string) bool { return value != "" })))
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/daemon/hosted/stored.go
@@ -0,0 +1,152 @@
+package hosted
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
+
+	"bulrushshed/feed"
+	"bulrushshed/gossip"
+	"bulrushshed/platform"
+	"bulrushshed/quarantine"
+)
+
+const (
+	// storeDelay is the minimum age at which a finding is written to the store. Most
+	// parts are cleared earlier, and their findings are not written.
+	storeDelay = time.Second
+	// maxUnstored limits the findings that are waiting to be written.
+	maxUnstored = 256
+)
+
+// storedFinding is the value of a finding in the store, whose key is that of its gossip
+// item.
+type storedFinding struct {
+	Stamp int64  `cbor:"stamp"`
+	Value []byte `cbor:"value,omitempty"`
+	// WrittenAtMS is the time of writing in Unix milliseconds.
+	WrittenAtMS int64 `cbor:"written_at_ms"`
+}
+
+// findingStore keeps findings in the store for hosts that start later, which can read it
+// before the other hosts accept them. It is not used for anything else.
+type findingStore struct {
+	host  *Host
+	table *gossip.Table
+
+	mu sync.Mutex
+	// recent has the findings since the last run of write, by key, and due those from
+	// before, which the next run writes.
+	recent, due map[string]gossip.Item
+}
+
+func newFindingStore(h *Host, table *gossip.Table) *findingStore {
+	return &findingStore{host: h, table: table, recent: map[string]gossip.Item{}, due: map[string]gossip.Item{}}
+}
+
+// add schedules a finding of this host for writing, if later hosts need it.
+func (s *findingStore) add(f quarantine.Finding) {
+	if f.Kind == quarantine.KindTrial || f.Kind == quarantine.KindCleared && f.Lasted < storeDelay {
+		return
+	}
+	i := f.Item()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.recent) < maxUnstored {
+		s.recent[i.Key] = i
+	}
+}
+
+// write writes the findings that have been known for at least storeDelay and still hold.
+// Those that cannot be written are tried again in the next run.
+func (s *findingStore) write(context.Context) {
+	s.mu.Lock()
+	due := s.due
+	s.due, s.recent = s.recent, map[string]gossip.Item{}
+	s.mu.Unlock()
+	maps.DeleteFunc(due, func(_ string, i gossip.Item) bool { return s.cleared(i) })
+	if len(due) == 0 {
+		return
+	}
+	now := time.Now().UnixMilli()
+	records := lo.MapToSlice(due, func(key string, i gossip.Item) feed.Change {
+		value, err := cbor.Marshal(storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now})
+		if err != nil {
+			panic(err)
+		}
+		return feed.Change{Key: key, Value: value}
+	})
+	if err := s.host.store.Append(platform.TopicFindings, records); err != nil {
+		s.host.log.Debug("gossip: writing findings to the store failed, retrying", "cause", err.Error())
+		s.retry(due)
+	}
+}
+
+// cleared reports whether the part of a crash has been cleared since.
+func (s *findingStore) cleared(i gossip.Item) bool {
+	f, ok := quarantine.ParseItem(i)
+	if !ok || f.Kind != quarantine.KindCrash {
+		return false
+	}
+	clearing, ok := s.table.Get(quarantine.Finding{Kind: quarantine.KindCleared, Part: f.Part}.Item().Key)
+	return ok && clearing.Stamp >= f.Generation
+}
+
+func (s *findingStore) retry(items map[string]gossip.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, i := range items {
+		if len(s.due) < maxUnstored {
+			s.due[key] = i
+		}
+	}
+}
+
+// read returns the findings in the store that have not expired, and deletes those that
+// have.
+func (s *findingStore) read() ([]gossip.Item, error) {
+	page, err := s.host.store.Newest(platform.TopicFindings)
+	if err != nil {
+		return nil, err
+	}
+	var items []gossip.Item
+	var expired []feed.Change
+	now := time.Now()
+	for _, c := range page.Changes {
+		i, ok := decodeStored(c, now)
+		if !ok {
+			expired = append(expired, feed.Change{Key: c.Key})
+			continue
+		}
+		items = append(items, i)
+	}
+	if len(expired) > 0 {
+		if err := s.host.store.Append(platform.TopicFindings, expired); err != nil {
+			s.host.log.Debug("gossip: deleting expired findings failed, the next host to start tries again", "cause", err.Error())
+		}
+	}
+	slices.SortFunc(items, func(a, b gossip.Item) int { return int(a.Stamp - b.Stamp) })
+	return items, nil
+}
+
+// decodeStored returns the gossip item of a finding in the store; ok is false if it has
+// expired or cannot be decoded.
+func decodeStored(c feed.Change, now time.Time) (i gossip.Item, ok bool) {
+	var stored storedFinding
+	if cbor.Unmarshal(c.Value, &stored) != nil {
+		return gossip.Item{}, false
+	}
+	i = gossip.Item{Key: c.Key, Stamp: stored.Stamp, Value: stored.Value}
+	f, ok := quarantine.ParseItem(i)
+	if !ok {
+		return gossip.Item{}, false
+	}
+	remaining := time.Duration(f.Item().TTLMS)*time.Millisecond - now.Sub(time.UnixMilli(stored.WrittenAtMS))
+	i.TTLMS = remaining.Milliseconds()
+	return i, remaining > 0
+}
--- a/quarantine/finding.go
+++ b/quarantine/finding.go
@@ -35,6 +35,9 @@
 	Subject string
 	// Others are the other parts that may have caused the crash.
 	Others []uint64
+	// Lasted is how long the part was suspected, for KindCleared. It is not part of the
+	// item.
+	Lasted time.Duration
 }
 
 const (
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -15,9 +15,11 @@
 	// others the parts that all of these crashes have in common with it.
 	crashed map[string]bool
 	others  []uint64
-	// changedAt is when this host learned of the last finding.
-	changedAt time.Time
-	heldUntil time.Time
+	// suspectedAt is when this host learned of the first crash, and changedAt when of
+	// the last finding.
+	suspectedAt time.Time
+	changedAt   time.Time
+	heldUntil   time.Time
 	// trial is the ID of the request that was tried last, by any host, at trialAt.
 	trial   string
 	trialAt time.Time
@@ -51,6 +53,7 @@
 	}
 	if len(s.crashed) == 0 {
 		s.others = f.Others
+		s.suspectedAt = now
 	}
 	s.others = lo.Intersect(s.others, f.Others)
 	for engine := range s.crashed {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -175,7 +175,7 @@
 		t.proven.add(part, now)
 		s, ok := t.suspects[part]
 		if ok && len(s.crashed) > 0 && began.After(s.changedAt) {
-			f := Finding{Kind: KindCleared, Part: part, Generation: s.generation}
+			f := Finding{Kind: KindCleared, Part: part, Generation: s.generation, Lasted: now.Sub(s.suspectedAt)}
 			t.clear(f, now)
 			cleared = append(cleared, f)
 		}
