--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -70,7 +70,7 @@
 	// Quarantine tracks the prompt parts that crash engines.
 	Quarantine *quarantine.Tracker
 	// FindingsKnown is closed once Quarantine has the findings of other hosts, or will
-	// not get them soon.
+	// not get them soon. Streams wait for it shortly.
 	FindingsKnown <-chan struct{}
 	Upstream      Upstream
 	Budget        *Budget
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -94,7 +94,7 @@
 		"last_event", s.lastID, "sends", s.sends, "ran", len(s.ran), "events", broken.events, "error", errorText(broken.err), "parts", formatParts(s.req.SharedParts))
 	for {
 		cause = s.startAttempt()
-		if !mayPass(cause) || !s.canAwaitPath() {
+		if !isTransient(cause) || !s.canAwaitPath() {
 			return cause
 		}
 		select {
@@ -105,8 +105,8 @@
 	}
 }
 
-// mayPass reports whether a reason not to start an attempt may soon be gone.
-func mayPass(cause string) bool {
+// isTransient reports whether a reason not to start an attempt may soon be gone.
+func isTransient(cause string) bool {
 	return cause == causeNoPath || cause == causeBudget || cause == causeQuarantined
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -39,8 +39,8 @@
 	causeRefused = "not_run"
 	// causeNotSent means that the replica received nothing.
 	causeNotSent = "not_sent"
-	// causeBroken means that an answer broke off, and causeBrokenAnswer that it did so
-	// before its first event.
+	// causeBroken means that an answer broke off after its head, and causeBrokenAnswer
+	// that it did so before.
 	causeBroken       = "broken_stream"
 	causeBrokenAnswer = "broken_answer"
 	// causeQuarantined means that a part of the prompt may crash engines.
