platform, ratelimit: log the limits that replicas name

The adapter decodes the field in the answers to requests, reports and orders; a change is logged and counted in bulrushshed_limited_replicas. Nothing else follows from it yet.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -19,6 +19,7 @@
 	"bulrushshed/pipeline"
 	"bulrushshed/platform"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 	"bulrushshed/settings"
 )
@@ -72,6 +73,7 @@
 	planner       *pipeline.Planner
 	quarantine    *quarantine.Tracker
 	findings      *findings
+	limits        *ratelimit.Limits
 	group         *group
 	feed          *relay
 	meter         *meter.Meter
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -10,6 +10,7 @@
 	"github.com/samber/do/v2"
 
 	"bulrushshed/forward"
+	"bulrushshed/gossip"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
 	"bulrushshed/keys"
@@ -17,6 +18,7 @@
 	"bulrushshed/pipeline"
 	"bulrushshed/platform"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 	"bulrushshed/settings"
 )
@@ -54,6 +56,8 @@
 	h.controller = newController(h)
 	h.findings = newFindings(h)
 	h.quarantine = quarantine.New(quarantine.Options{UnprovenCrashLimit: unprovenCrashLimit, Publish: h.findings.publish, Log: h.log})
+	h.limits = ratelimit.NewLimits(func(gossip.Item) {}, h.log)
+	h.replicaClient = platform.ReplicaClient{Limits: h.limits}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
@@ -118,5 +122,6 @@
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_prompt_parts", func() float64 { return float64(h.quarantine.Held(time.Now())) })
+	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.logWriter.dropped.Load()) })
 }
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-names='X-Bulrushshed-|At-Server|/api/(ready|resolve|report|order|log-)|keyed\.(op|servers|status)'
+names='X-Bulrushshed-|At-Server|Server-Limit|/api/(ready|resolve|report|order|log-)|keyed\.(op|servers|status)'
 names+='|\b(path_prefix|traffic_split|target_latency_ms|target_gap_ms|allow_anonymous|stream_resume|api_keys'
 names+='|kv_token_bytes|loads_at_once|layer_mb|read_factor|size_mb|cold_left_ms|handoff_mode|ttl_s|has_more)\b'
 
