--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +39,10 @@
 	deadlyPart string
 	downUntil  time.Time
 	crashes    int
+	// limit is the limit that the replica names, or 0, and arrivals counts the requests
+	// of any kind.
+	limit    float64
+	arrivals int
 }
 
 // engineRestartTime is how long an engine is down after a crash.
@@ -95,6 +100,7 @@
 	if r.crash(req) {
 		panic(http.ErrAbortHandler)
 	}
+	r.nameLimit(w)
 	if req.Header.Get("X-Bulrushshed-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -115,6 +121,16 @@
 	}
 }
 
+// nameLimit counts a request, and names the limit if there is one.
+func (r *replicaStandIn) nameLimit(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals++
+	if r.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(r.limit, 'g', -1, 64))
+	}
+}
+
 func (r *replicaStandIn) writeSignatureHeaders(w http.ResponseWriter, req *http.Request) {
 	w.Header().Set("X-Bulrushshed-Server-Seal", r.id)
 	w.Header().Set("X-Bulrushshed-Attempt-Id", req.Header.Get("X-Bulrushshed-Attempt-Id"))
