gossip: expired items do not come back

Cause: an item was sent with its whole time to live, so two hosts that had received it at different times returned it to each other after each had removed it.

Fix: an item is sent with the time that is left of it.

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -157,7 +157,7 @@
 	digestPartner := int(now.UnixNano()/int64(period)) % len(partners)
 	var pending sync.WaitGroup
 	for n, name := range partners {
-		exchange := d.gossipTable.NextExchange(len(entries))
+		exchange := d.gossipTable.NextExchange(len(entries), now)
 		if n == digestPartner {
 			exchange.Digest = d.gossipTable.DigestExchange().Digest
 		}
--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -165,10 +165,11 @@
 // passOn sends items to the partners until none is left to be passed on.
 func (f *findings) passOn(ctx context.Context) {
 	for ctx.Err() == nil {
-		addresses, hosts := f.partners(time.Now())
+		now := time.Now()
+		addresses, hosts := f.partners(now)
 		exchanges := map[string]gossip.Exchange{}
 		for _, address := range addresses {
-			if x := f.table.NextExchange(hosts); len(x.Items) > 0 {
+			if x := f.table.NextExchange(hosts, now); len(x.Items) > 0 {
 				exchanges[address] = x
 			}
 		}
--- a/gossip/exchanger.go
+++ b/gossip/exchanger.go
@@ -39,7 +39,7 @@
 	if reply.Digest == nil {
 		return true
 	}
-	missing := e.Table.Differing(*reply.Digest)
+	missing := e.Table.Differing(*reply.Digest, time.Now())
 	if _, err := e.Sender.Exchange(ctx, address, missing); err != nil {
 		e.Log.Debug("gossip: exchange failed", "peer", address, "cause", err.Error())
 	}
@@ -57,7 +57,7 @@
 	if *own.Digest == *x.Digest {
 		return nil
 	}
-	reply := e.Table.Differing(*x.Digest)
+	reply := e.Table.Differing(*x.Digest, time.Now())
 	reply.Digest = own.Digest
 	return &reply
 }
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -15,8 +15,8 @@
 	Key   string `cbor:"k"`
 	Stamp int64  `cbor:"s"`
 	Value []byte `cbor:"v"`
-	// TTLMS is the item's time to live in ms. Each host counts it from when it
-	// received the item.
+	// TTLMS is the item's time to live in ms, which is what is left of it when the item
+	// is sent.
 	TTLMS int64 `cbor:"l"`
 }
 
@@ -85,7 +85,7 @@
 	var added []Item
 	for _, i := range items {
 		old, ok := t.entries[i.Key]
-		if ok && old.item.Stamp >= i.Stamp {
+		if ok && old.item.Stamp >= i.Stamp || i.TTLMS <= 0 {
 			continue
 		}
 		if ok {
@@ -123,11 +123,19 @@
 	}
 }
 
+// withTimeLeft returns the item with its remaining time to live. Else hosts that compare
+// digests would return expired items to each other for ever.
+func (e *entry) withTimeLeft(now time.Time) Item {
+	i := e.item
+	i.TTLMS = e.expires.Sub(now).Milliseconds()
+	return i
+}
+
 // NextExchange returns the next exchange for one partner in a fleet of n hosts.
 // It holds the items that were sent on least often, up to MaxBytes, and counts
 // them as sent once more. Items that reach the retransmission limit are not
 // sent on again.
-func (t *Table) NextExchange(n int) Exchange {
+func (t *Table) NextExchange(n int, now time.Time) Exchange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := t.opts.RetransmitFactor * (bits.Len(uint(n)) + 1)
@@ -143,7 +151,7 @@
 		if size += itemSize(e.item); size > t.opts.MaxBytes && len(x.Items) > 0 {
 			break
 		}
-		x.Items = append(x.Items, e.item)
+		x.Items = append(x.Items, e.withTimeLeft(now))
 		e.sends++
 		if e.sends >= limit {
 			delete(t.pending, key)
@@ -168,7 +176,7 @@
 
 // Differing returns the items of the buckets in which d differs from the
 // table's digest, up to MaxBytes.
-func (t *Table) Differing(d Digest) Exchange {
+func (t *Table) Differing(d Digest, now time.Time) Exchange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x := Exchange{From: t.opts.Self}
@@ -181,7 +189,7 @@
 		if size += itemSize(e.item); size > t.opts.MaxBytes && len(x.Items) > 0 {
 			break
 		}
-		x.Items = append(x.Items, e.item)
+		x.Items = append(x.Items, e.withTimeLeft(now))
 	}
 	return x
 }
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -36,7 +36,7 @@
 	for i, t := range tables {
 		sent := 0
 		for n, name := range gossip.Partners(names[i], names, 3, now) {
-			x := t.NextExchange(len(names))
+			x := t.NextExchange(len(names), now)
 			sent += len(x.Items)
 			if r.Float64() < lossRate {
 				continue
@@ -44,8 +44,8 @@
 			other := tables[index[name]]
 			other.Merge(x.Items, now)
 			if n == roundNumber%3 {
-				t.Merge(other.Differing(*t.DigestExchange().Digest).Items, now)
-				other.Merge(t.Differing(*other.DigestExchange().Digest).Items, now)
+				t.Merge(other.Differing(*t.DigestExchange().Digest, now).Items, now)
+				other.Merge(t.Differing(*other.DigestExchange().Digest, now).Items, now)
 			}
 		}
 		most = max(most, sent)
@@ -183,3 +183,25 @@
 	// A host that is not yet in the member list reads by itself.
 	is.New(t).Equal(gossip.Source(gossip.Member{Name: "new", FailureDomain: "0"}, []gossip.Member{{Name: "old", FailureDomain: "0"}}, maxFollowers), "")
 }
+
+// Hosts that received an item at different times must not return it to each other after
+// it has expired.
+func TestExpiredItemDoesNotComeBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const ttl = 10 * time.Second
+	tables, _ := newFleet(2)
+	a, b := tables[0], tables[1]
+	a.Put(gossip.Item{Key: "k", Stamp: 1, TTLMS: ttl.Milliseconds()}, start)
+	received := start.Add(ttl / 2)
+	b.Merge(a.Differing(gossip.Digest{}, received).Items, received)
+	is.Equal(b.Len(), 1)
+	for at := start.Add(ttl); at.Before(start.Add(3 * ttl)); at = at.Add(time.Second) {
+		a.Expire(at)
+		a.Merge(b.Differing(*a.DigestExchange().Digest, at).Items, at)
+		b.Expire(at)
+		b.Merge(a.Differing(*b.DigestExchange().Digest, at).Items, at)
+	}
+	is.Equal(a.Len(), 0)
+	is.Equal(b.Len(), 0)
+}
