ratelimit, forward, daemon/hosted: hosts share the limits that replicas name

Fix: a request to a limited replica needs a permit. One host grants those of a replica, chosen by rendezvous hashing among the members, by a schedule of the named rate; the next one takes its place, at half of the rate, while it cannot be reached. Limits spread by gossip, end with the first answer that does not name them, and expire after 10 s. What a replica does not take goes to others; if none takes it, the request waits for its turn within 0.4 of the target latency, or else is refused at once, with a time of its own to return. Resumes, reroutes and orders may be two requests ahead of the rate; an engine that takes no more is checked by a connection without a request.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 # The packages with state shared between goroutines, tested with the race detector.
 shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
-	./ingress ./ingresshttp ./loop ./peer ./pipeline ./publication ./quarantine ./replica
+	./ingress ./ingresshttp ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./replica
 
 .PHONY: build demo up test race lint prove bench fuzz hosted
 
@@ -48,6 +48,7 @@
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
 	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
 	go test ./quarantine -run xxx -fuzz FuzzParseItem -fuzztime 20s
+	go test ./ratelimit -run xxx -fuzz FuzzMerge -fuzztime 20s
 
 # Builds the binary for the users' platform, as deploy/system.toml does.
 hosted:
--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -13,6 +13,7 @@
 	"bulrushshed/control"
 	"bulrushshed/ingress"
 	"bulrushshed/platform"
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 	"bulrushshed/route"
 )
@@ -45,6 +46,9 @@
 	rejectedFence int64
 }
 
+// errNotPermitted means that an order was not sent, as the engine has reached its limit.
+var errNotPermitted = errors.New("engine takes no more requests for a moment")
+
 type pendingOrder struct {
 	layers route.Range
 	sentAt time.Time
@@ -186,6 +190,10 @@
 func (c *controller) repair(ctx context.Context, r replica.Replica, layers route.Range, fence int64) {
 	reportCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if !c.host.limiter.Acquire(reportCtx, r.Incarnation(), ratelimit.Need{}).Granted {
+		c.host.log.Info("control: engine takes no more requests for a moment, not moved yet", "replica", r.ID)
+		return
+	}
 	report, err := c.host.replicaClient.Report(reportCtx, r)
 	if err != nil {
 		c.host.log.Warn("control: reading an engine's report failed, engine not moved", "replica", r.ID, "cause", err.Error())
@@ -220,6 +228,10 @@
 // shows its result. It also keeps a failed one, because the engine may have
 // received it and may still carry it out.
 func (c *controller) recordOrder(r replica.Replica, layers route.Range, fence int64, reason string, err error) {
+	if errors.Is(err, errNotPermitted) {
+		c.host.log.Info("control: engine takes no more requests for a moment, order postponed", "replica", r.ID)
+		return
+	}
 	c.host.log.Info("control: order result", "replica", r.ID, "from", layers.From, "to", layers.To, "held_from", r.Layers.From,
 		"held_to", r.Layers.To, "fence", fence, "reason", reason, "outcome", fmt.Sprint(err))
 	var e *platform.Error
@@ -238,5 +250,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if !c.host.limiter.Acquire(ctx, r.Incarnation(), ratelimit.Need{Urgent: true}).Granted {
+		return errNotPermitted
+	}
 	return c.host.replicaClient.PlaceLayers(ctx, r, layers, fence, startedOrders)
 }
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -60,6 +60,9 @@
 	switch {
 	case m.Kind == peer.KindExchange && m.Exchange != nil:
 		return peer.Reply{Exchange: r.host.findings.exchanger().Answer(ctx, *m.Exchange, "")}
+	case m.Kind == peer.KindPermit && m.Permit != nil:
+		permit := r.host.limiter.Answer(*m.Permit, time.Now())
+		return peer.Reply{Permit: &permit}
 	case m.Kind == peer.KindFeed && m.Feed != nil:
 		req := *m.Feed
 		req.Wait = min(req.Wait, feedPollTimeout)
--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -86,6 +86,9 @@
 func (f *findings) apply(_ context.Context, items []gossip.Item, _ string) {
 	now := time.Now()
 	for _, i := range items {
+		if f.host.limits.Merge(i, now) {
+			continue
+		}
 		finding, ok := quarantine.ParseItem(i)
 		if !ok {
 			f.host.log.Warn("gossip: unknown item ignored", "key", i.Key)
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -74,6 +74,7 @@
 	quarantine    *quarantine.Tracker
 	findings      *findings
 	limits        *ratelimit.Limits
+	limiter       *ratelimit.Limiter
 	group         *group
 	feed          *relay
 	meter         *meter.Meter
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -10,7 +10,6 @@
 	"github.com/samber/do/v2"
 
 	"bulrushshed/forward"
-	"bulrushshed/gossip"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
 	"bulrushshed/keys"
@@ -56,12 +55,14 @@
 	h.controller = newController(h)
 	h.findings = newFindings(h)
 	h.quarantine = quarantine.New(quarantine.Options{UnprovenCrashLimit: unprovenCrashLimit, Publish: h.findings.publish, Log: h.log})
-	h.limits = ratelimit.NewLimits(func(gossip.Item) {}, h.log)
+	h.limits = ratelimit.NewLimits(h.publishLimit, h.log)
+	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{Limits: h.limits}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
+		Limiter:    h.limiter,
 		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * retryBudgetFraction, Extra: cfg.RetryExtra * retryBudgetFraction, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
--- a/forward/checker.go
+++ b/forward/checker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 )
 
@@ -113,11 +114,19 @@
 	return ok && result.down && now.Sub(result.at) <= stalledResultTTL && !c.hostIsolated(now)
 }
 
-// probe checks one engine; it returns within checkTimeout.
+// probe checks one engine; it returns within checkTimeout once the request is permitted. An
+// engine that takes no more requests is only checked for whether it can be reached.
 func (c *checker) probe(f *Forwarder, r replica.Replica, requestID string) {
+	permitted := f.Limiter.Acquire(context.Background(), r.Incarnation(), ratelimit.Need{}).Granted
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	report, err := f.Upstream.Report(ctx, r)
+	var report Report
+	var err error
+	if permitted {
+		report, err = f.Upstream.Report(ctx, r)
+	} else {
+		err = f.Upstream.Reach(ctx, r)
+	}
 	now := time.Now()
 	c.mu.Lock()
 	c.results[r.Address] = checkResult{down: err != nil, at: now}
@@ -127,6 +136,9 @@
 		f.Planner.Suspect(r.Address, now.Add(failedExclusion))
 		return
 	}
+	if !permitted {
+		return
+	}
 	utilization := report.CellsUsed / max(report.CellsTotal, 1)
 	level := slog.LevelDebug
 	if report.Slowness > 1 || utilization > highUtilization {
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"bulrushshed/forward"
+	"bulrushshed/gossip"
 	"bulrushshed/ingress"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 	"bulrushshed/route"
 )
@@ -26,6 +28,8 @@
 	replicas  *replica.List
 	upstream  *upstream
 	tables    *tables
+	limits    *ratelimit.Limits
+	limiter   *ratelimit.Limiter
 	// findingsKnown is the closed channel forward.Dependencies.FindingsKnown.
 	findingsKnown chan struct{}
 }
@@ -50,6 +54,17 @@
 	t.fresh = fresh
 }
 
+// onlyHost is a ratelimit.Hosts of a single host.
+type onlyHost struct{}
+
+func (onlyHost) Responsible(string, int) []ratelimit.Host { return []ratelimit.Host{{Self: true}} }
+
+func (onlyHost) Ask(context.Context, string, ratelimit.Question) (ratelimit.Permit, error) {
+	return ratelimit.Permit{}, errors.New("no other host")
+}
+
+func (onlyHost) Size() int { return 1 }
+
 const (
 	layers        = 4
 	eventInterval = 25 * time.Millisecond
@@ -88,7 +103,7 @@
 func newFixture(budget float64) *fixture {
 	f := &fixture{replicas: replica.NewList(time.Second), tables: &tables{}}
 	f.tables.set(ingress.NewTable(config()), true)
-	f.upstream = &upstream{down: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.UpstreamResponse, error){}, streamBy: map[string]func(context.Context, forward.Send) *forward.UpstreamResponse{}, streams: map[string]*runningStream{}, events: eventCount}
+	f.upstream = &upstream{reports: map[string]int{}, down: map[string]bool{}, answers: map[string]func(forward.Send) (*forward.UpstreamResponse, error){}, streamBy: map[string]func(context.Context, forward.Send) *forward.UpstreamResponse{}, streams: map[string]*runningStream{}, events: eventCount}
 	for i, held := range []route.Range{{From: 0, To: 2}, {From: 0, To: 2}, {From: 2, To: 4}, {From: 2, To: 4}} {
 		f.replicas.Put(replica.Replica{
 			ID: fmt.Sprintf("e%d", i), Service: "model", Address: fmt.Sprintf("e%d", i), FailureDomain: "a",
@@ -99,6 +114,8 @@
 		f.replicas.Put(replica.Replica{ID: id, Service: "plain", Address: id, FailureDomain: "a", Started: 1})
 	}
 	hosts := func() int { return 1 }
+	f.limits = ratelimit.NewLimits(func(gossip.Item) {}, slog.New(slog.DiscardHandler))
+	f.limiter = ratelimit.NewLimiter(f.limits, onlyHost{}, slog.New(slog.DiscardHandler))
 	f.findingsKnown = make(chan struct{})
 	close(f.findingsKnown)
 	f.forwarder = forward.New(forward.Dependencies{
@@ -110,6 +127,7 @@
 			UnprovenCrashLimit: 1, Publish: func(quarantine.Finding) {}, Log: slog.New(slog.DiscardHandler),
 		}),
 		Upstream: f.upstream,
+		Limiter:  f.limiter,
 		Budget:   forward.NewBudget(forward.BudgetOptions{Extra: budget, Window: 10 * time.Second, Hosts: hosts}),
 		Counter:  meter.New(10, 10), Log: slog.New(slog.DiscardHandler),
 	})
@@ -146,10 +164,12 @@
 	down map[string]bool
 	// answers overrides how a replica answers a request, streamBy how an engine does
 	// until the context ends, and crashing how engines do that crash.
-	answers    map[string]func(forward.Send) (*forward.UpstreamResponse, error)
-	streamBy   map[string]func(context.Context, forward.Send) *forward.UpstreamResponse
-	crashing   *crashes
-	sends      []forward.Send
+	answers  map[string]func(forward.Send) (*forward.UpstreamResponse, error)
+	streamBy map[string]func(context.Context, forward.Send) *forward.UpstreamResponse
+	crashing *crashes
+	sends    []forward.Send
+	// reports counts the reports by engine.
+	reports    map[string]int
 	repaths    int
 	repathedAt time.Time
 	// full has engines without capacity for a stream that is rerouted.
@@ -231,14 +251,21 @@
 }
 
 func (u *upstream) Report(ctx context.Context, r replica.Replica) (forward.Report, error) {
+	u.mu.Lock()
+	u.reports[r.Address]++
+	u.mu.Unlock()
+	return forward.Report{Slowness: 1, CellsTotal: 1000}, u.Reach(ctx, r)
+}
+
+func (u *upstream) Reach(ctx context.Context, r replica.Replica) error {
 	u.mu.Lock()
 	down := u.down[r.Address]
 	u.mu.Unlock()
-	if down {
-		<-ctx.Done()
-		return forward.Report{}, ctx.Err()
+	if !down {
+		return nil
 	}
-	return forward.Report{Slowness: 1, CellsTotal: 1000}, nil
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (u *upstream) Repath(_ context.Context, _ replica.Replica, id string, path route.Route) error {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -73,6 +73,7 @@
 	// not get them soon. Streams wait for it shortly.
 	FindingsKnown <-chan struct{}
 	Upstream      Upstream
+	Limiter       Limiter
 	Budget        *Budget
 	Counter       Counter
 	Log           *slog.Logger
@@ -105,6 +106,8 @@
 	// addresses for a stream.
 	sends int
 	tried map[string]bool
+	// exhausted has the replicas that did not get the request because of their limits.
+	exhausted exhausted
 	// mayHaveRun is set once a replica has received the request and has not
 	// reported that it did not run it.
 	mayHaveRun bool
@@ -220,8 +223,11 @@
 
 // giveUp ends a request that was tried: as not run only if that is certain.
 func (c *call) giveUp(cause string) *Response {
-	if c.mayHaveRun {
+	switch {
+	case c.mayHaveRun:
 		return c.fail(cause)
+	case cause == causeLimited:
+		return c.refuse(cause, c.returnAfterLimit())
 	}
 	return c.refuse(cause, minRetryAfter+rand.N(minRetryAfter))
 }
--- /dev/null
+++ b/forward/limit.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/samber/lo"
+
+	"bulrushshed/pipeline"
+	"bulrushshed/ratelimit"
+	"bulrushshed/replica"
+	"bulrushshed/route"
+)
+
+const (
+	// limitWaitFraction is the fraction of a rule's target latency for which a request may
+	// wait for its turn at a replica that names a limit.
+	limitWaitFraction = 0.4
+	// maxLimited is the number of replicas that may turn out to have reached their limits
+	// before a request stops to look for another one.
+	maxLimited = 8
+)
+
+// Limiter keeps the requests of all hosts to a replica within the limit that it names.
+type Limiter interface {
+	// Acquire asks for a permit for one request to the given incarnation of a replica, and
+	// waits until the request may be sent.
+	Acquire(ctx context.Context, replica string, need ratelimit.Need) ratelimit.Permit
+	// Blocked returns the replicas that take no more requests for a moment, and how long
+	// that lasts.
+	Blocked(now time.Time) map[string]time.Duration
+	// ReturnAfter returns when a refused caller should return.
+	ReturnAfter(service string, replicas []string, soonest time.Duration, now time.Time) time.Duration
+}
+
+// exhausted are the replicas that take no more requests for a moment. soonest is the one
+// that takes a request first, after wait.
+type exhausted struct {
+	replicas []string
+	soonest  replica.Replica
+	wait     time.Duration
+}
+
+func (e *exhausted) add(r replica.Replica, wait time.Duration) {
+	if len(e.replicas) == 0 || wait < e.wait {
+		e.soonest, e.wait = r, wait
+	}
+	e.replicas = append(e.replicas, r.Incarnation())
+}
+
+// newExhausted returns those of the given replicas that are known to take no more.
+func (c *call) newExhausted(all []replica.Replica) (e exhausted, blocked []replica.Replica) {
+	waits := c.f.Limiter.Blocked(time.Now())
+	if len(waits) == 0 {
+		return exhausted{}, nil
+	}
+	for _, r := range all {
+		if wait, ok := waits[r.Incarnation()]; ok {
+			e.add(r, wait)
+			blocked = append(blocked, r)
+		}
+	}
+	return e, blocked
+}
+
+// returnAfterLimit returns when the caller of a request should return that no replica
+// takes because of its limit.
+func (c *call) returnAfterLimit() time.Duration {
+	return c.f.Limiter.ReturnAfter(c.service.Name, c.exhausted.replicas, c.exhausted.wait, time.Now())
+}
+
+// limitWait returns how long the request may wait for its turn.
+func (c *call) limitWait() time.Duration {
+	return min(time.Duration(limitWaitFraction*float64(c.rule.Objective)), time.Until(c.deadline)-minRemaining)
+}
+
+// pick selects a replica that takes the request now. If all have reached their limits, it
+// waits for the next turn if that is soon and no other send is running.
+func (p *plainCall) pick() (r replica.Replica, pending *replica.Pending, cause string) {
+	all := p.f.Replicas.View().ByService(p.service.Name)
+	e, blocked := p.newExhausted(all)
+	skip := maps.Clone(p.tried)
+	for _, r := range blocked {
+		skip[r.ID] = true
+	}
+	for range maxLimited {
+		r, pending, ok := p.f.Picker.Pick(all, skip, time.Now())
+		if !ok {
+			break
+		}
+		permit := p.f.Limiter.Acquire(p.ctx, r.Incarnation(), ratelimit.Need{})
+		if permit.Granted {
+			return r, pending, ""
+		}
+		pending.Cancel()
+		skip[r.ID] = true
+		e.add(r, permit.Wait())
+	}
+	if len(e.replicas) == 0 {
+		return replica.Replica{}, nil, "no_replica"
+	}
+	p.exhausted = e
+	if p.inFlight == 0 && !p.tried[e.soonest.ID] && p.awaitTurn(p.ctx, e, false) {
+		if r, pending, ok := p.f.Picker.Pick([]replica.Replica{e.soonest}, nil, time.Now()); ok {
+			return r, pending, ""
+		}
+	}
+	return replica.Replica{}, nil, causeLimited
+}
+
+// awaitTurn waits for the next turn at the replica that takes a request first, and reports
+// whether the request may be sent to it.
+func (c *call) awaitTurn(ctx context.Context, e exhausted, urgent bool) bool {
+	wait := c.limitWait()
+	return e.wait <= wait && c.f.Limiter.Acquire(ctx, e.soonest.Incarnation(), ratelimit.Need{MaxWait: wait, Urgent: urgent}).Granted
+}
+
+// firstPath selects a path that starts at an engine that takes the request now. If all
+// have reached their limits, it waits for the next turn if that is soon.
+func (s *stream) firstPath() (first replica.Replica, path route.Route, release func(), cause string) {
+	v := s.f.Replicas.View()
+	req := s.pathRequest()
+	e, blocked := s.newExhausted(v.ByService(s.service.Name))
+	urgent := s.begun()
+	if !urgent {
+		req.NotFirst = lo.SliceToMap(blocked, func(r replica.Replica) (string, bool) { return r.Address, true })
+	} else {
+		e = exhausted{}
+		req.NotFirst = map[string]bool{}
+	}
+	for range maxLimited {
+		first, path, release, ok := s.searchPath(v, req)
+		if !ok {
+			break
+		}
+		permit := s.f.Limiter.Acquire(s.ctx, first.Incarnation(), ratelimit.Need{Urgent: urgent})
+		if permit.Granted {
+			return first, path, release, ""
+		}
+		release()
+		req.NotFirst[first.Address] = true
+		e.add(first, permit.Wait())
+	}
+	if len(e.replicas) == 0 {
+		return replica.Replica{}, route.Route{}, nil, causeNoPath
+	}
+	s.exhausted = e
+	req.NotFirst = nil
+	req.FirstHops = map[string]bool{e.soonest.Address: true}
+	if !s.f.Planner.HasPath(v, req, time.Now()) || !s.awaitTurn(s.ctx, e, urgent) {
+		return replica.Replica{}, route.Route{}, nil, causeLimited
+	}
+	if first, path, release, ok := s.searchPath(v, req); ok {
+		return first, path, release, ""
+	}
+	return replica.Replica{}, route.Route{}, nil, causeLimited
+}
+
+// searchPath returns the cheapest path and the engine at which it starts.
+func (s *stream) searchPath(v *replica.View, req pipeline.PathRequest) (first replica.Replica, path route.Route, release func(), ok bool) {
+	path, release, err := s.f.Planner.Path(v, req, time.Now())
+	if err != nil {
+		return replica.Replica{}, route.Route{}, nil, false
+	}
+	if first, ok = v.ByAddress(path.Hops[0].Address); !ok {
+		release()
+		return replica.Replica{}, route.Route{}, nil, false
+	}
+	return first, path, release, true
+}
+
+// begun reports whether the caller already receives the answer.
+func (s *stream) begun() bool { return !s.lastEventAt.IsZero() }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -76,12 +76,12 @@
 	if p.sends >= p.rule.MaxAttempts || p.unreachable > maxUnreachable {
 		return causeAttempts
 	}
-	r, done, ok := p.f.Picker.Pick(p.f.Replicas.View().ByService(p.service.Name), p.tried, time.Now())
-	if !ok {
-		return "no_replica"
+	r, pending, cause := p.pick()
+	if cause != "" {
+		return cause
 	}
 	if p.sends > 0 && !p.f.Budget.AllowRetry(p.service.Name, time.Now()) {
-		done(false)
+		pending.Cancel()
 		return causeBudget
 	}
 	p.tried[r.ID] = true
@@ -89,7 +89,7 @@
 	p.inFlight++
 	go func() {
 		result := p.send(r)
-		done(result.resp == nil || result.resp.Status >= minFailureStatus)
+		pending.Done(result.resp == nil || result.resp.Status >= minFailureStatus)
 		p.results <- result
 	}()
 	return ""
--- a/forward/request.go
+++ b/forward/request.go
@@ -104,6 +104,8 @@
 	Send(ctx context.Context, s Send) (*UpstreamResponse, error)
 	// Report requests the report of an engine.
 	Report(ctx context.Context, r replica.Replica) (Report, error)
+	// Reach opens a connection to a replica and closes it. The replica gets no request.
+	Reach(ctx context.Context, r replica.Replica) error
 	// Repath orders the first engine of a running stream to reroute it to another
 	// path with the same first hop. The error is an *Error of KindNoRoom if an
 	// engine has no capacity for the stream.
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -23,20 +23,15 @@
 	if cause := s.whyBlocked(); cause != "" {
 		return cause
 	}
+	first, path, release, cause := s.firstPath()
+	if cause != "" {
+		return cause
+	}
 	if s.sends > 0 && !s.retryCharged && !s.f.Budget.AllowRetry(s.service.Name, time.Now()) {
+		release()
 		return causeBudget
 	}
 	s.retryCharged = false
-	v := s.f.Replicas.View()
-	path, release, err := s.f.Planner.Path(v, s.pathRequest(), time.Now())
-	if err != nil {
-		return causeNoPath
-	}
-	first, ok := v.ByAddress(path.Hops[0].Address)
-	if !ok {
-		release()
-		return causeNoPath
-	}
 	s.sends++
 	s.launch(first, path, release)
 	return ""
@@ -107,13 +102,13 @@
 
 // isTransient reports whether a reason not to start an attempt may soon be gone.
 func isTransient(cause string) bool {
-	return cause == causeNoPath || cause == causeBudget || cause == causeQuarantined
+	return cause == causeNoPath || cause == causeBudget || cause == causeQuarantined || cause == causeLimited
 }
 
 // canAwaitPath reports whether a stream that its caller is reading may pause longer
 // until a path has capacity, which is better than breaking it off.
 func (s *stream) canAwaitPath() bool {
-	return !s.lastEventAt.IsZero() && time.Since(s.lastEventAt) < resumeTimeout
+	return s.begun() && time.Since(s.lastEventAt) < resumeTimeout
 }
 
 // endAttempt ends the running attempt. If its send has had no result yet, the replica
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
 )
 
@@ -181,6 +182,11 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, repathTimeout)
 	defer cancel()
+	if !s.f.Limiter.Acquire(ctx, s.attempt.first.Incarnation(), ratelimit.Need{Urgent: true}).Granted {
+		release()
+		s.attempt.noCapacity = true
+		return false
+	}
 	err = s.f.Upstream.Repath(ctx, s.attempt.first, s.req.ID, path)
 	s.f.Log.Info("forward: stream reroute attempted", "request", s.req.ID, "cause", cause, "without", without, "error", errorText(err),
 		"last_event", s.lastID, "hops", len(path.Hops))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -35,6 +35,8 @@
 	causeDeadline = "deadline"
 	causeBudget   = "budget"
 	causeAttempts = "attempts"
+	// causeLimited means that the replicas take no more requests for a moment.
+	causeLimited = "limited"
 	// causeRefused means that a replica stated that it did not run the request.
 	causeRefused = "not_run"
 	// causeNotSent means that the replica received nothing.
--- a/gossip/partner.go
+++ b/gossip/partner.go
@@ -17,14 +17,28 @@
 // so that all members compute the same one. It returns "" if there are no
 // members.
 func Owner(key string, members []string) string {
-	owner := ""
-	highest := uint64(0)
+	owners := Owners(key, members, 1)
+	if len(owners) == 0 {
+		return ""
+	}
+	return owners[0]
+}
+
+// Owners returns up to n members for a key: the one that is responsible, and those that
+// would be without the ones before them.
+func Owners(key string, members []string, n int) []string {
+	sums := make(map[string]uint64, len(members))
 	for _, m := range members {
-		if sum := xxhash.Sum64String(key + "\x00" + m); owner == "" || sum > highest {
-			owner, highest = m, sum
-		}
+		sums[m] = xxhash.Sum64String(key + "\x00" + m)
+	}
+	rest := slices.Clone(members)
+	owners := make([]string, 0, n)
+	for len(owners) < n && len(rest) > 0 {
+		owner := slices.MaxFunc(rest, func(a, b string) int { return cmp.Compare(sums[a], sums[b]) })
+		owners = append(owners, owner)
+		rest = slices.DeleteFunc(rest, func(m string) bool { return m == owner })
 	}
-	return owner
+	return owners
 }
 
 // Partners returns up to fanout members that the host self exchanges with at
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,6 +8,7 @@
 	"bulrushshed/hostlog"
 	"bulrushshed/outcome"
 	"bulrushshed/publication"
+	"bulrushshed/ratelimit"
 	"bulrushshed/rule"
 )
 
@@ -29,16 +30,19 @@
 	KindDemand Kind = "demand"
 	// KindFeed asks for the changes of a topic.
 	KindFeed Kind = "feed"
+	// KindPermit asks for a permit for one request to a replica that names a limit.
+	KindPermit Kind = "permit"
 )
 
 // Message is one request. Only the field for its kind is set; KindJoin has
 // none, and KindRules uses Have.
 type Message struct {
-	Kind     Kind             `cbor:"kind"`
-	Forward  *Forward         `cbor:"forward,omitempty"`
-	Exchange *gossip.Exchange `cbor:"exchange,omitempty"`
-	Demand   *Demand          `cbor:"demand,omitempty"`
-	Feed     *feed.Request    `cbor:"feed,omitempty"`
+	Kind     Kind                `cbor:"kind"`
+	Forward  *Forward            `cbor:"forward,omitempty"`
+	Exchange *gossip.Exchange    `cbor:"exchange,omitempty"`
+	Demand   *Demand             `cbor:"demand,omitempty"`
+	Feed     *feed.Request       `cbor:"feed,omitempty"`
+	Permit   *ratelimit.Question `cbor:"permit,omitempty"`
 	// Have is the version that a host requesting newer rules already has.
 	Have rule.Version `cbor:"have,omitempty"`
 }
@@ -87,4 +91,5 @@
 	Shares   map[string]float64 `cbor:"shares,omitempty"`
 	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
 	Feed     *feed.Response     `cbor:"feed,omitempty"`
+	Permit   *ratelimit.Permit  `cbor:"permit,omitempty"`
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -72,8 +72,10 @@
 	Tokens int
 	// Avoid has the addresses of engines that must not be used.
 	Avoid map[string]bool
-	// FirstHops has the addresses at which the path may start; nil allows any.
+	// FirstHops has the addresses at which the path may start; nil allows any. It must
+	// not start at those in NotFirst.
 	FirstHops map[string]bool
+	NotFirst  map[string]bool
 }
 
 // Path returns the cheapest route for a stream and counts the stream on its
@@ -184,8 +186,10 @@
 			return cost, true
 		},
 	}
-	if req.FirstHops != nil {
-		q.CanStart = func(h *route.Holding) bool { return req.FirstHops[h.Address] }
+	if req.FirstHops != nil || len(req.NotFirst) > 0 {
+		q.CanStart = func(h *route.Holding) bool {
+			return (req.FirstHops == nil || req.FirstHops[h.Address]) && !req.NotFirst[h.Address]
+		}
 	}
 	return q
 }
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -156,7 +156,9 @@
 	}
 	if !known || current.Naming != n {
 		current.changedAt = now
-		l.log.Info("ratelimit: replica changed its limit", "replica", replica, "named", n.Named, "rate", n.Rate, "before", current.Rate)
+		if known || n.Named {
+			l.log.Info("ratelimit: replica changed its limit", "replica", replica, "named", n.Named, "rate", n.Rate, "before", current.Rate)
+		}
 	}
 	current.Naming = n
 	current.stamp = stamp
--- a/replica/list_test.go
+++ b/replica/list_test.go
@@ -132,14 +132,14 @@
 	p := replica.NewPicker("a")
 	all := []replica.Replica{newReplica("i1", "x:1", 1), newReplica("i2", "x:2", 1)}
 	for range 8 {
-		r, done, ok := p.Pick(all, nil, now)
+		r, pending, ok := p.Pick(all, nil, now)
 		is.True(ok)
-		done(r.ID == "i1")
+		pending.Done(r.ID == "i1")
 	}
 	for range 20 {
-		r, done, _ := p.Pick(all, nil, time.Now())
+		r, pending, _ := p.Pick(all, nil, time.Now())
 		is.Equal(r.ID, "i2")
-		done(false)
+		pending.Done(false)
 	}
 	_, _, ok := p.Pick(all, map[string]bool{"i1": true, "i2": true}, now)
 	is.True(!ok)
@@ -159,8 +159,8 @@
 	far.FailureDomain = "b"
 	p := replica.NewPicker("a")
 	for range 10 {
-		r, done, _ := p.Pick([]replica.Replica{far, newReplica("near", "x:2", 1)}, nil, time.Now())
+		r, pending, _ := p.Pick([]replica.Replica{far, newReplica("near", "x:2", 1)}, nil, time.Now())
 		is.Equal(r.ID, "near")
-		done(false)
+		pending.Done(false)
 	}
 }
--- a/replica/picker.go
+++ b/replica/picker.go
@@ -61,10 +61,17 @@
 	return s.lastRate * math.Exp2(-float64(now.Sub(s.updatedAt))/float64(failureHalfLife))
 }
 
+// Pending is a request that counts as in flight at a replica until Done or Cancel is
+// called.
+type Pending struct {
+	picker *Picker
+	stats  *replicaStats
+	once   sync.Once
+}
+
 // Pick returns the replica of lowest cost whose ID is not in tried; ok is false
-// if there is none. The request counts as in flight at the replica until done
-// is called, which also records whether the request failed.
-func (p *Picker) Pick(all []Replica, tried map[string]bool, now time.Time) (r Replica, done func(failed bool), ok bool) {
+// if there is none. The request counts as in flight at the replica.
+func (p *Picker) Pick(all []Replica, tried map[string]bool, now time.Time) (r Replica, pending *Pending, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := math.Inf(1)
@@ -86,28 +93,34 @@
 	}
 	s := p.getOrCreateStats(r.ID)
 	s.inFlight++
-	return r, p.doneFunc(s), true
+	return r, &Pending{picker: p, stats: s}, true
 }
 
-// doneFunc returns the function that records the outcome of one request. Only
-// its first call has an effect.
-func (p *Picker) doneFunc(s *replicaStats) func(failed bool) {
-	var once sync.Once
-	return func(failed bool) {
-		once.Do(func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			now := time.Now()
-			rate := s.failureRate(now)
-			target := 0.0
-			if failed {
-				target = 1
-			}
-			s.lastRate = rate + failureSmoothing*(target-rate)
-			s.updatedAt = now
-			s.inFlight--
-		})
-	}
+// Done ends the request and records whether it failed. Only the first call of Done or
+// Cancel has an effect.
+func (p *Pending) Done(failed bool) {
+	p.once.Do(func() {
+		p.picker.mu.Lock()
+		defer p.picker.mu.Unlock()
+		now := time.Now()
+		rate := p.stats.failureRate(now)
+		target := 0.0
+		if failed {
+			target = 1
+		}
+		p.stats.lastRate = rate + failureSmoothing*(target-rate)
+		p.stats.updatedAt = now
+		p.stats.inFlight--
+	})
+}
+
+// Cancel ends a request that was not sent.
+func (p *Pending) Cancel() {
+	p.once.Do(func() {
+		p.picker.mu.Lock()
+		defer p.picker.mu.Unlock()
+		p.stats.inFlight--
+	})
 }
 
 // RemoveUnlisted deletes the statistics of replicas that are not in the view
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -56,10 +56,9 @@
 // Exchange sends a request header and body to an address and returns the response.
 // Closing the response body or cancelling ctx closes the connection.
 func Exchange(ctx context.Context, address string, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := dial(ctx, address)
 	if err != nil {
-		return nil, &Error{Op: "dial", Kind: KindNotSent, Cause: err}
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, err := roundTrip(conn, head, body)
@@ -72,6 +71,24 @@
 	return resp, nil
 }
 
+// Reach opens a connection to an address and closes it without sending anything.
+func Reach(ctx context.Context, address string) error {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Cause: err}
+	}
+	return conn, nil
+}
+
 func roundTrip(conn net.Conn, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
 	request := head.AppendBytes(make([]byte, 0, readBufferBytes))
 	if len(body) <= concurrentWriteBytes {
