--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -65,7 +65,7 @@
 }
 
 // The limit holds while some hosts ask the responsible host and others the one that takes
-// its place, all as often as they can.
+// its place, all as often as they can after a pause.
 func TestLimitHoldsBesideAFallback(t *testing.T) {
 	t.Parallel()
 	for _, rate := range []float64{0.25, 1, 3.7, 12, 80} {
@@ -73,7 +73,9 @@
 			t.Parallel()
 			responsible, fallback := ratelimit.NewAllocator(), ratelimit.NewAllocator()
 			var sent []time.Time
-			for d := time.Duration(0); d < 20*time.Second; d += time.Millisecond {
+			responsible.Decide(ratelimit.Question{Replica: engine}, rate, at(0))
+			fallback.Decide(ratelimit.Question{Replica: engine, Fallback: true}, rate, at(0))
+			for d := 20 * time.Second; d < 40*time.Second; d += time.Millisecond {
 				for _, urgent := range []bool{false, true} {
 					if responsible.Decide(ratelimit.Question{Replica: engine, Urgent: urgent}, rate, at(d)).Granted {
 						sent = append(sent, at(d))
