delivery, completion, daemon: hosts share the limits of replicas in the native protocol

The same fault in the other protocol: a plain service or an engine could not tell a rate that it takes from all hosts together. Its answers may now carry Request-Limit; calls, and streams at their first engine, need a permit then. What one replica does not take goes to another one; a request that none takes waits for its turn if that is before its host would give up, or else is refused at once as not run, with a time to return (endpoint_limit).

One test stub of a single host became ratelimit.SingleHost.

--- a/completion/crash.go
+++ b/completion/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/bits"
 	"time"
 
@@ -50,6 +49,6 @@
 	defer cancel()
 	first := rt.Hops[0]
 	if x.Engines.Probe(ctx, first.Address) != nil {
-		x.observed.RecordCrash(fmt.Sprintf("%s/%d", first.Endpoint, first.Incarnation), time.Now())
+		x.observed.RecordCrash(first.EngineIncarnation(), time.Now())
 	}
 }
--- a/completion/runner.go
+++ b/completion/runner.go
@@ -9,6 +9,7 @@
 	"bulrushshed/engine"
 	"bulrushshed/outcome"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/route"
 	"bulrushshed/rule"
 )
@@ -49,6 +50,16 @@
 	Observe(parts []uint64) *quarantine.Attempt
 }
 
+// Limiter keeps the streams of all hosts that begin at an engine within the limit that it
+// names.
+type Limiter interface {
+	// Acquire asks for a permit for one stream that begins at the given incarnation of an
+	// engine.
+	Acquire(ctx context.Context, engine string, need ratelimit.Need) ratelimit.Permit
+	// ReturnAfter returns when a refused caller should return.
+	ReturnAfter(service string, engines []string, soonest time.Duration, now time.Time) time.Duration
+}
+
 // Canceller tells engines asynchronously that an attempt has ended.
 type Canceller interface {
 	Cancel(hops []route.Hop, c engine.Cancel)
@@ -98,6 +109,7 @@
 	Engines    Engines
 	Planner    Planner
 	Quarantine Quarantine
+	Limiter    Limiter
 	Canceller  Canceller
 	Counter    Counter
 	Log        *slog.Logger
@@ -120,6 +132,8 @@
 	avoid      map[string]bool
 	avoidLinks map[route.Link]bool
 	cached     map[string]route.Range
+	// exhausted has the engines at which the last search for a route could not begin.
+	exhausted ratelimit.Exhausted[route.Hop]
 	// unresponsive are the endpoints that did not answer the last probe.
 	unresponsive map[string]bool
 	// reroutes is how often the request left a route for being slow.
@@ -192,14 +206,41 @@
 // plan retries for up to RouteWait until there is a route.
 func (x *run) plan(ctx context.Context) (route.Route, func(), error) {
 	for waited := time.Duration(0); ; waited += x.opts.RouteRetryInterval {
-		rt, release, err := x.Planner.Plan(x.req.Model, x.constraints())
-		if err == nil || waited >= x.opts.RouteWait || ctx.Err() != nil {
+		rt, release, err := x.planPermitted(ctx)
+		if err == nil || waited+x.exhausted.Wait >= x.opts.RouteWait || ctx.Err() != nil {
 			return rt, release, err
 		}
 		x.waitBeforeReplan(ctx)
 	}
 }
 
+// planPermitted returns a route that begins at an engine that takes the stream now.
+// x.exhausted has the engines that don't, if there is no such route.
+func (x *run) planPermitted(ctx context.Context) (route.Route, func(), error) {
+	x.exhausted = ratelimit.Exhausted[route.Hop]{}
+	need := ratelimit.Need{Urgent: len(x.progress.Delivered()) > 0}
+	for {
+		rt, release, err := x.Planner.Plan(x.req.Model, x.constraints())
+		if err != nil {
+			return route.Route{}, nil, err
+		}
+		first := rt.Hops[0]
+		permit := x.Limiter.Acquire(ctx, first.EngineIncarnation(), need)
+		if permit.Granted {
+			x.exhausted = ratelimit.Exhausted[route.Hop]{}
+			return rt, release, nil
+		}
+		release()
+		x.exhausted.Add(first, first.EngineIncarnation(), permit.Wait())
+		if x.avoid[first.Endpoint] {
+			return route.Route{}, nil, errNoPermit
+		}
+		x.avoid[first.Endpoint] = true
+	}
+}
+
+var errNoPermit = errors.New("the engines take no more streams for a moment")
+
 // promptTokenBytes is the mean length of a prompt token in bytes.
 const promptTokenBytes = 4
 
@@ -242,11 +283,17 @@
 }
 
 func (x *run) attemptsExhaustedError(last error, mayHaveRun bool) error {
-	cause := outcome.CauseNoEndpoint
-	if mayHaveRun {
-		cause = outcome.CauseInterrupted
+	o := &outcome.Error{
+		Op: "complete", Kind: outcomeKind(mayHaveRun), Cause: outcome.CauseNoEndpoint, Message: last.Error(), RetryAfter: time.Second,
+	}
+	switch {
+	case mayHaveRun:
+		o.Cause = outcome.CauseInterrupted
+	case len(x.exhausted.Replicas) > 0:
+		o.Cause = outcome.CauseEndpointLimit
+		o.RetryAfter = x.Limiter.ReturnAfter(x.req.Model.Name, x.exhausted.Replicas, x.exhausted.Wait, time.Now())
 	}
-	return &outcome.Error{Op: "complete", Kind: outcomeKind(mayHaveRun), Cause: cause, Message: last.Error(), RetryAfter: time.Second}
+	return o
 }
 
 func outcomeKind(mayHaveRun bool) outcome.Kind {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/settings"
 )
 
@@ -67,6 +68,8 @@
 	// deliverer is set by newDeliverer, before Run starts anything.
 	deliverer *delivery.Deliverer
 
+	limits  *ratelimit.Limits
+	limiter *ratelimit.Limiter
 	// peerNode is set by Run before its first use.
 	peerNode *peer.Node
 	// orderTracker holds the orders that this host sent under the last lease it
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -113,13 +113,21 @@
 		case strings.HasPrefix(i.Key, hostKeyPrefix), strings.HasPrefix(i.Key, unlistedKeyPrefix):
 			d.applyHostItem(i)
 		default:
-			if f, ok := quarantine.ParseItem(i); ok {
-				d.quarantine.Merge(f, time.Now())
-			}
+			d.applyFinding(i)
 		}
 	}
 }
 
+// applyFinding applies what another host has found about a replica or a part of prompts.
+func (d *Daemon) applyFinding(i gossip.Item) {
+	if d.limits.Merge(i, time.Now()) {
+		return
+	}
+	if f, ok := quarantine.ParseItem(i); ok {
+		d.quarantine.Merge(f, time.Now())
+	}
+}
+
 // applyHostItem applies an entry of the platform's host list that another host
 // has read.
 func (d *Daemon) applyHostItem(i gossip.Item) {
--- a/daemon/home.go
+++ b/daemon/home.go
@@ -70,6 +70,9 @@
 		return peer.Reply{Exchange: d.exchanger().Answer(ctx, *m.Exchange, d.peerAddress(m.Exchange.From))}
 	case m.Kind == peer.KindDemand && m.Demand != nil:
 		return peer.Reply{Shares: d.grantShares(m.Demand)}
+	case m.Kind == peer.KindPermit && m.Permit != nil:
+		permit := d.limiter.Answer(*m.Permit, time.Now())
+		return peer.Reply{Permit: &permit}
 	case m.Kind == peer.KindRules:
 		s, delta := d.follower.SnapshotSince(m.Have)
 		return peer.Reply{Rules: &peer.Rules{Snapshot: s, Delta: delta}}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -23,6 +23,7 @@
 	"bulrushshed/platformhttp"
 	"bulrushshed/publication"
 	"bulrushshed/quarantine"
+	"bulrushshed/ratelimit"
 	"bulrushshed/route"
 	"bulrushshed/servicehttp"
 	"bulrushshed/settings"
@@ -110,8 +111,10 @@
 		demandEstimator: admit.NewDemandEstimator(),
 		meter:           meter.New(maxCustomers, maxClasses),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
-		engines:         enginehttp.NewClient(t.Peer.D()),
 	}
+	d.limits = ratelimit.NewLimits(d.gossipLimit, log)
+	d.limiter = ratelimit.NewLimiter(d.limits, limitHosts{d}, log)
+	d.engines = enginehttp.NewClient(t.Peer.D(), d.limits)
 	d.journal = claim.NewJournal(d.self, maxBatchOutcomes, maxJournalAnswerBytes)
 	d.ledger = claim.NewLedger(t.KeyTTL.D())
 	d.canceller = newCanceller(d.engines, log)
@@ -138,6 +141,7 @@
 		return 0
 	})
 	d.meter.Gauge("bulrushshed_quarantined_prompt_parts", func() float64 { return float64(d.quarantine.Held(time.Now())) })
+	d.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(d.limits.Len(time.Now())) })
 	d.meter.Gauge("bulrushshed_peer_bytes", func() float64 { return float64(d.peerNode.Bytes()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.follower.State().LastRead).Seconds() })
 }
@@ -149,7 +153,7 @@
 		FirstTokenTimeout: t.FirstGap.D(), TokenTimeout: t.TokenGap.D(), ProbeAfter: t.ProbeAfter.D(), ProbeTimeout: t.Probe.D(),
 		MaxAttempts: d.cfg.Limits.Attempts, RouteRetryInterval: routeRetryInterval, RouteWait: t.RouteWait.D(),
 	}, completion.Dependencies{
-		Engines: d.engines, Planner: planner{d}, Quarantine: d.quarantine, Canceller: d.canceller, Counter: d.meter, Log: d.log,
+		Engines: d.engines, Planner: planner{d}, Quarantine: d.quarantine, Limiter: d.limiter, Canceller: d.canceller, Counter: d.meter, Log: d.log,
 	}), nil
 }
 
@@ -158,7 +162,7 @@
 	deliverer := delivery.New(delivery.Options{
 		Self: d.self, MaxAttempts: d.cfg.Limits.Attempts, PickWait: d.cfg.Times.RouteWait.D(),
 	}, delivery.Dependencies{
-		Services: servicehttp.NewClient(), Replicas: planner{d}, HomeClient: homeClient{d}, Table: d.claims,
+		Services: servicehttp.NewClient(d.limits), Replicas: planner{d}, Limiter: d.limiter, HomeClient: homeClient{d}, Table: d.claims,
 		Journal: d.journal, Outcomes: outcomeLookup{d}, Gate: callGate{d}, Counter: d.meter, Log: d.log,
 	})
 	d.deliverer = deliverer
--- a/delivery/deliverer.go
+++ b/delivery/deliverer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"bulrushshed/claim"
 	"bulrushshed/outcome"
+	"bulrushshed/ratelimit"
 	"bulrushshed/rule"
 	"bulrushshed/service"
 )
@@ -60,6 +62,17 @@
 	MarkLeaving(endpoint string, incarnation int64)
 }
 
+// incarnation identifies the run of the endpoint's process.
+func (r Replica) incarnation() string { return fmt.Sprintf("%s/%d", r.Endpoint, r.Incarnation) }
+
+// Limiter keeps the calls of all hosts to a replica within the limit that it names.
+type Limiter interface {
+	// Acquire asks for a permit for one call to the given incarnation of a replica.
+	Acquire(ctx context.Context, replica string, need ratelimit.Need) ratelimit.Permit
+	// ReturnAfter returns when a refused caller should return.
+	ReturnAfter(service string, replicas []string, soonest time.Duration, now time.Time) time.Duration
+}
+
 // HomeClient forwards calls to the home of their key.
 type HomeClient interface {
 	// Forward returns the home's answer, or an *outcome.Error.
@@ -113,6 +126,7 @@
 type Dependencies struct {
 	Services   Services
 	Replicas   Replicas
+	Limiter    Limiter
 	HomeClient HomeClient
 	Table      *claim.Table
 	Journal    Journal
@@ -265,15 +279,19 @@
 // sendNonIdempotent sends a call to a replica, and to another one only if all
 // earlier ones certainly did not run it.
 func (d *Deliverer) sendNonIdempotent(ctx context.Context, r Request) (outcome.Answer, error) {
-	last := noReplicaError(r.Class.Service)
+	var last error
 	tried := map[string]bool{}
 	for n := range d.opts.MaxAttempts {
-		replica, release, ok := d.pickReplica(ctx, r, tried)
-		if !ok {
+		replica, release, err := d.pickReplica(ctx, r, tried)
+		if err != nil {
+			if n == 0 {
+				last = err
+			}
 			break
 		}
 		tried[replica.Endpoint] = true
-		answer, err := d.sendTo(ctx, r, n+1, replica)
+		var answer outcome.Answer
+		answer, err = d.sendTo(ctx, r, n+1, replica)
 		if err != nil && replica.HonorsKeys {
 			answer, err = d.resendWithKey(ctx, r, replica, err)
 		}
@@ -290,24 +308,6 @@
 	return outcome.Answer{}, last
 }
 
-// pickRetryInterval is the time between two searches for a replica.
-const pickRetryInterval = 20 * time.Millisecond
-
-// pickReplica waits for a replica that accepts new work. It does not wait after a
-// first attempt, since the error of that attempt can then be returned. It leaves
-// half of the time until the deadline for the call itself.
-func (d *Deliverer) pickReplica(ctx context.Context, r Request, tried map[string]bool) (Replica, func(), bool) {
-	now := time.Now()
-	end := now.Add(min(d.opts.PickWait, r.Deadline.Sub(now)/2))
-	for {
-		replica, release, ok := d.Replicas.Pick(r.Class.Service, tried)
-		if ok || len(tried) > 0 || ctx.Err() != nil || !time.Now().Before(end) {
-			return replica, release, ok
-		}
-		time.Sleep(pickRetryInterval)
-	}
-}
-
 // resendDelay is the wait before a key is sent to the same endpoint again.
 const resendDelay = 50 * time.Millisecond
 
@@ -337,7 +337,7 @@
 		}
 	}
 	answer, err := d.Services.Send(ctx, to.Address, service.Call{
-		RequestID: r.ID, Attempt: attempt, Key: r.Key, Method: r.Method, Path: r.Path,
+		Replica: to.incarnation(), RequestID: r.ID, Attempt: attempt, Key: r.Key, Method: r.Method, Path: r.Path,
 		ContentType: r.ContentType, Body: r.Body, Timeout: remaining,
 	})
 	if o := toOutcomeError(err); o != nil {
--- a/delivery/deliverer_test.go
+++ b/delivery/deliverer_test.go
@@ -100,7 +100,7 @@
 				s := &scriptedService{answers: c.answers, honorsKeys: c.honorsKeys}
 				home := claim.Home{Host: "entry-1", Incarnation: 1}
 				d := delivery.New(delivery.Options{Self: home, MaxAttempts: 3}, delivery.Dependencies{
-					Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s,
+					Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s, Limiter: newLimiter(),
 					Table: claim.NewTable(claim.Options{KeyTTL: keyTTL, Capacity: 10, MaxAnswerBytes: 64}),
 					Log:   slog.New(slog.DiscardHandler),
 				})
@@ -144,7 +144,7 @@
 			is := is.New(t)
 			s := &scriptedService{}
 			d := delivery.New(delivery.Options{Self: home, MaxAttempts: 3}, delivery.Dependencies{
-				Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s,
+				Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s, Limiter: newLimiter(),
 				Table: claim.NewTable(claim.Options{KeyTTL: keyTTL, Capacity: 10, MaxAnswerBytes: 64}),
 				Log:   slog.New(slog.DiscardHandler),
 			})
@@ -199,7 +199,7 @@
 				s := &slowService{firstLatency: c.first}
 				home := claim.Home{Host: "entry-1", Incarnation: 1}
 				d := delivery.New(delivery.Options{Self: home, MaxAttempts: 3}, delivery.Dependencies{
-					Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s,
+					Services: s, Replicas: s, HomeClient: s, Journal: s, Outcomes: s, Gate: s, Counter: s, Limiter: newLimiter(),
 					Table: claim.NewTable(claim.Options{KeyTTL: keyTTL, Capacity: 10, MaxAnswerBytes: 64}),
 					Log:   slog.New(slog.DiscardHandler),
 				})
--- a/delivery/hedge.go
+++ b/delivery/hedge.go
@@ -25,8 +25,8 @@
 	defer cancel()
 	c := d.classStates.get(r.Class.Name)
 	x := &hedgedCall{d: d, r: r, tried: map[string]bool{}, results: make(chan sendResult, d.opts.MaxAttempts)}
-	if !x.launch(ctx) {
-		return outcome.Answer{}, noReplicaError(r.Class.Service)
+	if err := x.launch(ctx); err != nil {
+		return outcome.Answer{}, err
 	}
 	hedgeTimer := time.NewTimer(c.hedgeDelay.current())
 	defer hedgeTimer.Stop()
@@ -40,11 +40,11 @@
 				return s.answer, nil
 			}
 			x.recordFailure(s)
-			if x.launched < d.opts.MaxAttempts && ctx.Err() == nil && c.budget.withdraw() && x.launch(ctx) {
+			if x.launched < d.opts.MaxAttempts && ctx.Err() == nil && c.budget.withdraw() && x.launch(ctx) == nil {
 				d.Counter.Retried(r.Class.Name)
 			}
 		case <-hedgeTimer.C:
-			if x.launched < d.opts.MaxAttempts && c.budget.withdraw() && x.launch(ctx) {
+			if x.launched < d.opts.MaxAttempts && c.budget.withdraw() && x.launch(ctx) == nil {
 				d.Counter.Hedged(r.Class.Name)
 			}
 		}
@@ -70,12 +70,12 @@
 	lastErr      error
 }
 
-// launch sends the call to a replica that was not tried yet. It returns false if
+// launch sends the call to a replica that was not tried yet. It returns an error if
 // there is none.
-func (x *hedgedCall) launch(ctx context.Context) bool {
-	replica, release, ok := x.d.pickReplica(ctx, x.r, x.tried)
-	if !ok {
-		return false
+func (x *hedgedCall) launch(ctx context.Context) error {
+	replica, release, err := x.d.pickReplica(ctx, x.r, x.tried)
+	if err != nil {
+		return err
 	}
 	x.tried[replica.Endpoint] = true
 	x.launched++
@@ -87,7 +87,7 @@
 		answer, err := x.d.sendTo(ctx, x.r, attempt, replica)
 		x.results <- sendResult{answer: answer, err: err, latency: time.Since(start)}
 	}()
-	return true
+	return nil
 }
 
 func (x *hedgedCall) recordFailure(s sendResult) {
@@ -97,10 +97,3 @@
 	}
 	x.lastErr = leastCertain(x.lastErr, s.err)
 }
-
-func noReplicaError(service string) error {
-	return &outcome.Error{
-		Op: "pick", Kind: outcome.NotRun, Cause: outcome.CauseNoEndpoint,
-		Message: "no replica of " + service + " accepts new work", RetryAfter: time.Second,
-	}
-}
--- a/delivery/simulation_test.go
+++ b/delivery/simulation_test.go
@@ -81,7 +81,7 @@
 	h.journal = claim.NewJournal(h.home, 3, 64)
 	h.ledger = claim.NewLedger(keyTTL)
 	h.d = delivery.New(delivery.Options{Self: h.home, MaxAttempts: 3}, delivery.Dependencies{
-		Services: h, Replicas: h, HomeClient: h, Table: h.table, Journal: h.journal, Outcomes: h, Gate: h, Counter: h,
+		Services: h, Replicas: h, HomeClient: h, Table: h.table, Journal: h.journal, Outcomes: h, Gate: h, Counter: h, Limiter: newLimiter(),
 		Log: slog.New(slog.DiscardHandler),
 	})
 	return h
--- a/engine/message.go
+++ b/engine/message.go
@@ -72,8 +72,14 @@
 	Fence int64 `json:"fence"`
 }
 
-// HeaderNotRun is set on a response if the request had no effect.
-const HeaderNotRun = "Not-Run"
+// The headers of responses.
+const (
+	// HeaderNotRun is set if the request had no effect.
+	HeaderNotRun = "Not-Run"
+	// HeaderLimit is set by an engine in need: the streams a second that it takes from
+	// all hosts together as the first of their routes. Other requests don't count.
+	HeaderLimit = "Request-Limit"
+)
 
 // Order is the desired state of an engine: the role, the release and the layers
 // that it should have. A release is a version of a model, with or without an
--- a/enginehttp/client.go
+++ b/enginehttp/client.go
@@ -12,6 +12,7 @@
 
 	"bulrushshed/engine"
 	"bulrushshed/jsonhttp"
+	"bulrushshed/ratelimit"
 )
 
 // Kind classifies an Error.
@@ -53,15 +54,23 @@
 // request.
 func IsNotRun(err error) bool { return errors.Is(err, engine.ErrNotRun) }
 
+// LimitRecorder records the limits that engines name.
+type LimitRecorder interface {
+	// Record records what an answer of an engine's incarnation says of its limit.
+	Record(incarnation string, n ratelimit.Naming, sentAt, now time.Time)
+}
+
 // Client sends requests to engines; it is safe for concurrent use.
 type Client struct {
 	http        *jsonhttp.Client
 	callTimeout time.Duration
+	limits      LimitRecorder
 }
 
-// NewClient returns a client; callTimeout limits each request that is not a stream.
-func NewClient(callTimeout time.Duration) *Client {
-	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), callTimeout: callTimeout}
+// NewClient returns a client; callTimeout limits each request that is not a stream. The
+// client passes on the limits that the answers name.
+func NewClient(callTimeout time.Duration, limits LimitRecorder) *Client {
+	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), callTimeout: callTimeout, limits: limits}
 }
 
 // eventBuffer is the number of events buffered for a slow caller before the
@@ -108,6 +117,7 @@
 	if err != nil {
 		return &Error{Op: "generate", Kind: KindNotRun, Endpoint: first.Endpoint, Cause: err}
 	}
+	sentAt := time.Now()
 	resp, err := c.http.Open(ctx, jsonhttp.Request{
 		Method: http.MethodPost, URL: "http://" + first.Address + "/v1/generate",
 		Headers: map[string]string{"Content-Type": "application/json"}, Body: body, Timeout: headerTimeout,
@@ -116,6 +126,7 @@
 		return &Error{Op: "generate", Kind: errorKind(err), Endpoint: first.Endpoint, Cause: err}
 	}
 	defer resp.Close()
+	c.limits.Record(first.EngineIncarnation(), ratelimit.ParseNaming(resp.Header(engine.HeaderLimit)), sentAt, time.Now())
 	if resp.Status != http.StatusOK {
 		kind := KindBroken
 		if resp.Header(engine.HeaderNotRun) != "" {
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -54,17 +54,6 @@
 	t.fresh = fresh
 }
 
-// onlyHost is a ratelimit.Hosts of a single host.
-type onlyHost struct{}
-
-func (onlyHost) Responsible(string, int) []ratelimit.Host { return []ratelimit.Host{{Self: true}} }
-
-func (onlyHost) Ask(context.Context, string, ratelimit.Question) (ratelimit.Permit, error) {
-	return ratelimit.Permit{}, errors.New("no other host")
-}
-
-func (onlyHost) Size() int { return 1 }
-
 const (
 	layers        = 4
 	eventInterval = 25 * time.Millisecond
@@ -115,7 +104,7 @@
 	}
 	hosts := func() int { return 1 }
 	f.limits = ratelimit.NewLimits(func(gossip.Item) {}, slog.New(slog.DiscardHandler))
-	f.limiter = ratelimit.NewLimiter(f.limits, onlyHost{}, slog.New(slog.DiscardHandler))
+	f.limiter = ratelimit.NewLimiter(f.limits, ratelimit.SingleHost{}, slog.New(slog.DiscardHandler))
 	f.findingsKnown = make(chan struct{})
 	close(f.findingsKnown)
 	f.forwarder = forward.New(forward.Dependencies{
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -34,20 +34,8 @@
 	ReturnAfter(service string, replicas []string, soonest time.Duration, now time.Time) time.Duration
 }
 
-// exhausted are the replicas that take no more requests for a moment. soonest is the one
-// that takes a request first, after wait.
-type exhausted struct {
-	replicas []string
-	soonest  replica.Replica
-	wait     time.Duration
-}
-
-func (e *exhausted) add(r replica.Replica, wait time.Duration) {
-	if len(e.replicas) == 0 || wait < e.wait {
-		e.soonest, e.wait = r, wait
-	}
-	e.replicas = append(e.replicas, r.Incarnation())
-}
+// exhausted has the replicas that take no more requests for a moment.
+type exhausted = ratelimit.Exhausted[replica.Replica]
 
 // newExhausted returns those of the given replicas that are known to take no more.
 func (c *call) newExhausted(all []replica.Replica) (e exhausted, blocked []replica.Replica) {
@@ -57,7 +45,7 @@
 	}
 	for _, r := range all {
 		if wait, ok := waits[r.Incarnation()]; ok {
-			e.add(r, wait)
+			e.Add(r, r.Incarnation(), wait)
 			blocked = append(blocked, r)
 		}
 	}
@@ -67,7 +55,7 @@
 // returnAfterLimit returns when the caller of a request should return that no replica
 // takes because of its limit.
 func (c *call) returnAfterLimit() time.Duration {
-	return c.f.Limiter.ReturnAfter(c.service.Name, c.exhausted.replicas, c.exhausted.wait, time.Now())
+	return c.f.Limiter.ReturnAfter(c.service.Name, c.exhausted.Replicas, c.exhausted.Wait, time.Now())
 }
 
 // limitWait returns how long the request may wait for its turn.
@@ -95,14 +83,14 @@
 		}
 		pending.Cancel()
 		skip[r.ID] = true
-		e.add(r, permit.Wait())
+		e.Add(r, r.Incarnation(), permit.Wait())
 	}
-	if len(e.replicas) == 0 {
+	if len(e.Replicas) == 0 {
 		return replica.Replica{}, nil, "no_replica"
 	}
 	p.exhausted = e
-	if p.inFlight == 0 && !p.tried[e.soonest.ID] && p.awaitTurn(p.ctx, e, false) {
-		if r, pending, ok := p.f.Picker.Pick([]replica.Replica{e.soonest}, nil, time.Now()); ok {
+	if p.inFlight == 0 && !p.tried[e.Soonest.ID] && p.awaitTurn(p.ctx, e, false) {
+		if r, pending, ok := p.f.Picker.Pick([]replica.Replica{e.Soonest}, nil, time.Now()); ok {
 			return r, pending, ""
 		}
 	}
@@ -113,7 +101,7 @@
 // whether the request may be sent to it.
 func (c *call) awaitTurn(ctx context.Context, e exhausted, urgent bool) bool {
 	wait := c.limitWait()
-	return e.wait <= wait && c.f.Limiter.Acquire(ctx, e.soonest.Incarnation(), ratelimit.Need{MaxWait: wait, Urgent: urgent}).Granted
+	return e.Wait <= wait && c.f.Limiter.Acquire(ctx, e.Soonest.Incarnation(), ratelimit.Need{MaxWait: wait, Urgent: urgent}).Granted
 }
 
 // firstPath selects a path that starts at an engine that takes the request now. If all
@@ -140,14 +128,14 @@
 		}
 		release()
 		req.NotFirst[first.Address] = true
-		e.add(first, permit.Wait())
+		e.Add(first, first.Incarnation(), permit.Wait())
 	}
-	if len(e.replicas) == 0 {
+	if len(e.Replicas) == 0 {
 		return replica.Replica{}, route.Route{}, nil, causeNoPath
 	}
 	s.exhausted = e
 	req.NotFirst = nil
-	req.FirstHops = map[string]bool{e.soonest.Address: true}
+	req.FirstHops = map[string]bool{e.Soonest.Address: true}
 	if !s.f.Planner.HasPath(v, req, time.Now()) || !s.awaitTurn(s.ctx, e, urgent) {
 		return replica.Replica{}, route.Route{}, nil, causeLimited
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -36,6 +36,8 @@
 	// CauseBusy means that the home has no room for another key.
 	CauseBusy     Cause = "busy"
 	CauseDeadline Cause = "deadline"
+	// CauseEndpointLimit means that the endpoints take no more requests for a moment.
+	CauseEndpointLimit Cause = "endpoint_limit"
 	// CauseNoEndpoint means that there was no endpoint for the request, or that
 	// none of those tried can have received it.
 	CauseNoEndpoint Cause = "no_endpoint"
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -37,6 +37,19 @@
 	Rate  float64
 }
 
+// ParseNaming returns what the text of a header says, which is empty if the answer names no
+// limit. A text that is no number becomes one that Limits ignores.
+func ParseNaming(text string) Naming {
+	if text == "" {
+		return Naming{}
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		rate = math.NaN()
+	}
+	return Naming{Named: true, Rate: rate}
+}
+
 // Limits has the limits that replicas have named. It is safe for concurrent use.
 type Limits struct {
 	// publish announces a change to the other hosts. It must not block.
--- a/route/route.go
+++ b/route/route.go
@@ -49,6 +49,9 @@
 	Time time.Duration `json:"-"`
 }
 
+// EngineIncarnation identifies the run of the engine's process.
+func (h Hop) EngineIncarnation() string { return fmt.Sprintf("%s/%d", h.Endpoint, h.Incarnation) }
+
 // Route is a sequence of hops that runs each layer of one model version once.
 type Route struct {
 	Model   string `json:"model"`
--- a/service/call.go
+++ b/service/call.go
@@ -7,6 +7,9 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderRequestID = "Request-Id"
 	HeaderNotRun    = "Not-Run"
+	// HeaderLimit is set on a response by a replica in need: the calls a second that it
+	// takes from all hosts together.
+	HeaderLimit = "Request-Limit"
 )
 
 // The values of HeaderNotRun.
@@ -20,6 +23,8 @@
 
 // Call is one call to a plain service.
 type Call struct {
+	// Replica identifies the incarnation of the replica. It is not sent.
+	Replica     string
 	RequestID   string
 	Attempt     int
 	Key         string
--- a/servicehttp/client.go
+++ b/servicehttp/client.go
@@ -5,26 +5,40 @@
 	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"bulrushshed/jsonhttp"
 	"bulrushshed/outcome"
+	"bulrushshed/ratelimit"
 	"bulrushshed/service"
 )
 
+// LimitRecorder records the limits that replicas name.
+type LimitRecorder interface {
+	// Record records what an answer of a replica's incarnation says of its limit.
+	Record(incarnation string, n ratelimit.Naming, sentAt, now time.Time)
+}
+
 // Client sends calls to services; it is safe for concurrent use.
 type Client struct {
-	http *jsonhttp.Client
+	http   *jsonhttp.Client
+	limits LimitRecorder
 }
 
-// NewClient returns a client that never retries a call.
-func NewClient() *Client {
-	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions())}
+// NewClient returns a client that never retries a call. It passes on the limits that the
+// answers name.
+func NewClient(limits LimitRecorder) *Client {
+	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), limits: limits}
 }
 
 // Send sends a call once, on a connection of its own, which is closed when ctx is
 // done. The error is an *outcome.Error.
 func (c *Client) Send(ctx context.Context, address string, call service.Call) (outcome.Answer, error) {
+	sentAt := time.Now()
 	resp, err := c.http.Exchange(ctx, newRequest(address, call))
+	if err == nil {
+		c.limits.Record(call.Replica, ratelimit.ParseNaming(resp.Header(service.HeaderLimit)), sentAt, time.Now())
+	}
 	return parseResponse(resp, err)
 }
 
