forward, quarantine: log the fingerprint of plain requests that break off

A fingerprint of customer, method, target, prompt and body is logged with failed sends and with requests that may have run, and the error with which the answer broke off. Nothing else uses it yet.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"bulrushshed/ingress"
@@ -108,6 +110,8 @@
 	tried map[string]bool
 	// exhausted has the replicas that did not get the request because of their limits.
 	exhausted exhausted
+	// fingerprint returns the hash by which the request is recognized if it comes again.
+	fingerprint func() uint64
 	// mayHaveRun is set once a replica has received the request and has not
 	// reported that it did not run it.
 	mayHaveRun bool
@@ -138,6 +142,9 @@
 		return f.refuseUnrouted(req, "no_service")
 	}
 	c.deadline = deadlineOf(req, rule)
+	c.fingerprint = sync.OnceValue(quarantine.Call{
+		Customer: c.customer, Method: req.Method, Target: req.Host + req.Target, Prompt: req.Prompt, Body: req.Body,
+	}.Fingerprint)
 	f.Budget.RecordRequest(c.service.Name, req.Arrived)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	if rule.Kind == ingress.KindStream && c.service.Model != nil {
@@ -205,6 +212,9 @@
 	return err
 }
 
+// formatFingerprint formats the fingerprint of the request for a log line.
+func (c *call) formatFingerprint() string { return strconv.FormatUint(c.fingerprint(), 16) }
+
 // refuse ends a request that no replica has run; the caller may retry it.
 func (c *call) refuse(cause string, after time.Duration) *Response {
 	c.finish(outcome.NotRun, cause)
@@ -238,6 +248,9 @@
 	if kind != outcome.Answered && len(c.req.SharedParts) > 0 {
 		more = append(more, "parts", formatParts(c.req.SharedParts))
 	}
+	if kind == outcome.Unknown {
+		more = append(more, "fingerprint", c.formatFingerprint())
+	}
 	c.f.Counter.RequestDone(c.customer, c.rule.Name, kind, outcome.Cause(cause), took)
 	c.f.Log.Info("forward: request ended", append([]any{
 		"request", c.req.ID, "rule", c.rule.Name, "customer", c.customer, "outcome", string(kind), "cause", cause,
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -42,6 +42,8 @@
 	// retryable is set if another replica may get the request.
 	retryable bool
 	cause     string
+	// err is the error with which the answer broke off, or nil.
+	err error
 }
 
 // servePlain serves a request by one replica. It uses another one if the first did not
@@ -131,7 +133,8 @@
 		return p.lastFailureOrGiveUp(result.cause)
 	}
 	p.f.Counter.Retried(p.rule.Name)
-	p.f.Log.Info("forward: send failed, retrying request", "request", p.req.ID, "replica", result.replica.ID, "cause", result.cause, "sends", p.sends)
+	p.f.Log.Info("forward: send failed, retrying request", "request", p.req.ID, "replica", result.replica.ID, "cause", result.cause, "sends", p.sends,
+		"fingerprint", p.formatFingerprint(), "error", errorText(result.err))
 	return nil
 }
 
@@ -157,7 +160,7 @@
 	}
 	safe := p.rule.Kind == ingress.KindSafe
 	if err != nil {
-		result.ran, result.retryable, result.cause = true, safe, "broken_answer"
+		result.ran, result.retryable, result.cause, result.err = true, safe, causeBrokenAnswer, err
 		return result
 	}
 	if a.NotRun {
@@ -169,7 +172,7 @@
 	err = bufferBody(a)
 	switch {
 	case err != nil:
-		result.retryable, result.cause = safe, "broken_body"
+		result.retryable, result.cause, result.err = safe, "broken_body", err
 	case a.Status < http.StatusMultipleChoices && !a.Signed:
 		result.retryable, result.cause = safe, "unsigned"
 	default:
--- a/forward/request.go
+++ b/forward/request.go
@@ -44,6 +44,8 @@
 	// SharedParts identifies the parts of the prompt that other requests may share, in
 	// order. The last part of a prompt is the request's own and is not included.
 	SharedParts []uint64
+	// Prompt is a hash of all parts of the prompt, or 0 if the request has none.
+	Prompt uint64
 	// Arrived is when the request was read.
 	Arrived time.Time
 }
