--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 # Runs the benchmarks behind docs/MEASUREMENTS.md; takes about ten minutes on
 # eight cores.
 bench:
-	go test ./control ./route ./meter ./claim ./quarantine -run xxx -bench . -benchtime 300ms
+	go test ./control ./route ./meter ./claim ./quarantine ./ratelimit -run xxx -bench . -benchtime 300ms
 	go test ./proof -run xxx -bench . -benchtime 1x
 	go test ./daemon -run xxx -bench . -benchtime 1x
 
