ratelimit: limits are repeated less often

Worked out for docs/CAPACITY.md: an item is passed on 20 times by each of 400 hosts, so a limit that is repeated each 3 s costs a host 0.5 KB/s, and 8 limited replicas use up the 4 KB/s that control may take. Cause: the time to live of 10 s. Fix: 30 s, repeated 8 to 16 s after the last time: 0.19 KB/s and some 20 replicas. The first answer without a limit ends it as before; a replica that gets no requests is known as limited for longer.

--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -17,11 +17,11 @@
 
 const (
 	// limitTTL is how long a limit applies after the last answer that named it.
-	limitTTL = 10 * time.Second
+	limitTTL = 30 * time.Second
 	// minRefreshAge and maxRefreshAge bound the random age at which a host that reads a
 	// limit again announces it again.
-	minRefreshAge = 3 * time.Second
-	maxRefreshAge = 6 * time.Second
+	minRefreshAge = 8 * time.Second
+	maxRefreshAge = 16 * time.Second
 	// minRate is the lowest rate, in requests per second, at which a replica is used. Its
 	// answers tell when the limit ends.
 	minRate = 0.25
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -114,7 +114,7 @@
 	return sent
 }
 
-// The limits apply for 10 s, so that the tests last less.
+// The limits apply for 30 s, so that the tests last less.
 const loadTime = 9 * time.Second
 
 func TestLimitHoldsForAllHostsTogether(t *testing.T) {
