--- a/daemon/hosted/limits.go
+++ b/daemon/hosted/limits.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/samber/lo"
 
 	"bulrushshed/gossip"
-	"bulrushshed/peer"
 	"bulrushshed/ratelimit"
 )
 
-// errNoPermit is returned for a reply without an answer to the question.
-var errNoPermit = errors.New("got a reply without a permit")
-
 // limitHosts provides the members of the group as the hosts that grant permits. A host
 // keeps its address, and so the replicas that it is responsible for, when it restarts.
 type limitHosts struct{ host *Host }
@@ -35,14 +30,7 @@
 
 // Ask implements ratelimit.Hosts.
 func (l limitHosts) Ask(ctx context.Context, address string, q ratelimit.Question) (ratelimit.Permit, error) {
-	reply, err := l.host.feed.node.Call(ctx, address, peer.Message{Kind: peer.KindPermit, Permit: &q})
-	switch {
-	case err != nil:
-		return ratelimit.Permit{}, err
-	case reply.Permit == nil:
-		return ratelimit.Permit{}, errNoPermit
-	}
-	return *reply.Permit, nil
+	return l.host.feed.node.Ask(ctx, address, q)
 }
 
 // Size implements ratelimit.Hosts.
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/samber/lo"
 
 	"bulrushshed/gossip"
 	"bulrushshed/hostlog"
-	"bulrushshed/peer"
 	"bulrushshed/ratelimit"
 )
 
-// errNoPermit is returned for a reply without an answer to the question.
-var errNoPermit = errors.New("got a reply without a permit")
-
 // limitHosts provides the entry hosts as those that grant permits.
 type limitHosts struct{ d *Daemon }
 
@@ -33,14 +28,7 @@
 
 // Ask implements ratelimit.Hosts.
 func (l limitHosts) Ask(ctx context.Context, address string, q ratelimit.Question) (ratelimit.Permit, error) {
-	reply, err := l.d.peerNode.Call(ctx, address, peer.Message{Kind: peer.KindPermit, Permit: &q})
-	switch {
-	case err != nil:
-		return ratelimit.Permit{}, err
-	case reply.Permit == nil:
-		return ratelimit.Permit{}, errNoPermit
-	}
-	return *reply.Permit, nil
+	return l.d.peerNode.Ask(ctx, address, q)
 }
 
 // Size implements ratelimit.Hosts.
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -30,8 +30,8 @@
 	return counts
 }
 
-// status sends a request and reads the answer.
-func (f *fixture) status(t *testing.T, rule, id string) (resp *forward.Response) {
+// sendAndRead sends a request and reads the answer to its end.
+func (f *fixture) sendAndRead(t *testing.T, rule, id string) (resp *forward.Response) {
 	t.Helper()
 	req := request(rule)
 	req.ID = id
@@ -60,7 +60,7 @@
 				f.limit(1, c.limited...)
 				const requests = 12
 				for range requests {
-					is.Equal(f.status(t, c.rule, "r").Status, 200)
+					is.Equal(f.sendAndRead(t, c.rule, "r").Status, 200)
 				}
 				counts := f.upstream.sentTo()
 				for _, address := range c.limited {
@@ -93,7 +93,7 @@
 				var last time.Duration
 				for range 3 {
 					began := time.Now()
-					resp := f.status(t, rule, "r")
+					resp := f.sendAndRead(t, rule, "r")
 					is.Equal(resp.Status, 503)
 					is.Equal(time.Since(began), time.Duration(0))
 					is.True(resp.RetryAfter > last) // another time for each
@@ -101,7 +101,7 @@
 				}
 				is.Equal(len(f.upstream.sent()), sent)
 				time.Sleep(last)
-				is.Equal(f.status(t, rule, "r").Status, 200)
+				is.Equal(f.sendAndRead(t, rule, "r").Status, 200)
 				time.Sleep(time.Second) // streams end
 			})
 		})
@@ -141,7 +141,7 @@
 		f.limit(0.5, "p1", "p2")
 		f.upstream.answers["p0"] = fail
 		for range 30 {
-			resp := f.status(t, "safe", "r")
+			resp := f.sendAndRead(t, "safe", "r")
 			is.True(resp.Status == 200 || resp.Status == 500)
 		}
 		counts := f.upstream.sentTo()
@@ -166,7 +166,7 @@
 				continue // the limits are used up
 			}
 		}
-		is.Equal(f.status(t, "stream", "another").Status, 503)
+		is.Equal(f.sendAndRead(t, "stream", "another").Status, 503)
 		f.upstream.takeDown(first)
 		ids, err := readEvents(t, resp)
 		is.NoErr(err)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -30,13 +30,18 @@
 	Self bool
 }
 
+// Asker asks other hosts for permits.
+type Asker interface {
+	// Ask asks the host at an address.
+	Ask(ctx context.Context, address string, q Question) (Permit, error)
+}
+
 // Hosts provides the hosts that grant permits.
 type Hosts interface {
+	Asker
 	// Responsible returns up to n hosts for a replica. The first one is responsible, and
 	// each further one if those before it cannot be reached.
 	Responsible(replica string, n int) []Host
-	// Ask asks the host at an address.
-	Ask(ctx context.Context, address string, q Question) (Permit, error)
 	// Size returns the number of hosts.
 	Size() int
 }
