--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,15 +56,15 @@
 }
 
 // launch starts an attempt on a path.
-func (s *stream) launch(first replica.Replica, path route.Route, release func()) {
+func (s *stream) launch(st start) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
-		first: first, path: path, progress: s.f.Progress.Track(path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
-		updates: make(chan update, 4), cancel: cancel, release: release,
+		first: st.first, path: st.path, progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
+		updates: make(chan update, 4), cancel: cancel, release: st.release,
 	}
 	s.attempt = a
 	send := Send{
-		Request: s.req, Replica: first, Path: path, TimeLeft: time.Until(s.deadline), Customer: s.customer, Priority: s.priority,
+		Request: s.req, Replica: st.first, Path: st.path, TimeLeft: time.Until(s.deadline), Customer: s.customer, Priority: s.priority,
 		LastEvent: s.lastEvent(),
 	}
 	go a.run(ctx, s.f.Upstream, send)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/samber/lo"
-
 	"bulrushshed/pipeline"
 	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
@@ -104,58 +102,77 @@
 	return e.Wait <= wait && c.f.Limiter.Acquire(ctx, e.Soonest.Incarnation(), ratelimit.Need{MaxWait: wait, Urgent: urgent}).Granted
 }
 
-// firstPath selects a path that starts at an engine that takes the request now. If all
+// start is a path for a stream, with the engine at which it starts. release ends its
+// reservation in the planner.
+type start struct {
+	first   replica.Replica
+	path    route.Route
+	release func()
+}
+
+// selectStart selects a path that starts at an engine that takes the request now. If all
 // have reached their limits, it waits for the next turn if that is soon.
-func (s *stream) firstPath() (first replica.Replica, path route.Route, release func(), cause string) {
+func (s *stream) selectStart() (st start, cause string) {
 	v := s.f.Replicas.View()
 	req := s.pathRequest()
-	e, blocked := s.newExhausted(v.ByService(s.service.Name))
+	req.NotFirst = map[string]bool{}
+	var e exhausted
 	urgent := s.begun()
 	if !urgent {
-		req.NotFirst = lo.SliceToMap(blocked, func(r replica.Replica) (string, bool) { return r.Address, true })
-	} else {
-		e = exhausted{}
-		req.NotFirst = map[string]bool{}
+		// A running stream may be ahead of the rate, so it asks blocked engines, too.
+		var blocked []replica.Replica
+		e, blocked = s.newExhausted(v.ByService(s.service.Name))
+		for _, r := range blocked {
+			req.NotFirst[r.Address] = true
+		}
 	}
 	for range maxLimited {
-		first, path, release, ok := s.searchPath(v, req)
+		st, ok := s.searchPath(v, req)
 		if !ok {
 			break
 		}
-		permit := s.f.Limiter.Acquire(s.ctx, first.Incarnation(), ratelimit.Need{Urgent: urgent})
+		permit := s.f.Limiter.Acquire(s.ctx, st.first.Incarnation(), ratelimit.Need{Urgent: urgent})
 		if permit.Granted {
-			return first, path, release, ""
+			return st, ""
 		}
-		release()
-		req.NotFirst[first.Address] = true
-		e.Add(first, first.Incarnation(), permit.Wait())
+		st.release()
+		req.NotFirst[st.first.Address] = true
+		e.Add(st.first, st.first.Incarnation(), permit.Wait())
 	}
 	if len(e.Replicas) == 0 {
-		return replica.Replica{}, route.Route{}, nil, causeNoPath
+		return start{}, causeNoPath
 	}
 	s.exhausted = e
+	return s.awaitStart(v, req, e)
+}
+
+// awaitStart waits for the next turn at the engine that takes a request first, and selects
+// a path that starts there.
+func (s *stream) awaitStart(v *replica.View, req pipeline.PathRequest, e exhausted) (st start, cause string) {
 	req.NotFirst = nil
 	req.FirstHops = map[string]bool{e.Soonest.Address: true}
-	if !s.f.Planner.HasPath(v, req, time.Now()) || !s.awaitTurn(s.ctx, e, urgent) {
-		return replica.Replica{}, route.Route{}, nil, causeLimited
+	if !s.f.Planner.HasPath(v, req, time.Now()) || !s.awaitTurn(s.ctx, e, s.begun()) {
+		return start{}, causeLimited
 	}
-	if first, path, release, ok := s.searchPath(v, req); ok {
-		return first, path, release, ""
+	st, ok := s.searchPath(v, req)
+	if !ok {
+		return start{}, causeLimited
 	}
-	return replica.Replica{}, route.Route{}, nil, causeLimited
+	return st, ""
 }
 
-// searchPath returns the cheapest path and the engine at which it starts.
-func (s *stream) searchPath(v *replica.View, req pipeline.PathRequest) (first replica.Replica, path route.Route, release func(), ok bool) {
+// searchPath returns the cheapest path.
+func (s *stream) searchPath(v *replica.View, req pipeline.PathRequest) (st start, ok bool) {
 	path, release, err := s.f.Planner.Path(v, req, time.Now())
 	if err != nil {
-		return replica.Replica{}, route.Route{}, nil, false
+		return start{}, false
 	}
-	if first, ok = v.ByAddress(path.Hops[0].Address); !ok {
+	first, ok := v.ByAddress(path.Hops[0].Address)
+	if !ok {
 		release()
-		return replica.Replica{}, route.Route{}, nil, false
+		return start{}, false
 	}
-	return first, path, release, true
+	return start{first: first, path: path, release: release}, true
 }
 
 // begun reports whether the caller already receives the answer.
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -23,17 +23,17 @@
 	if cause := s.whyBlocked(); cause != "" {
 		return cause
 	}
-	first, path, release, cause := s.firstPath()
+	st, cause := s.selectStart()
 	if cause != "" {
 		return cause
 	}
 	if s.sends > 0 && !s.retryCharged && !s.f.Budget.AllowRetry(s.service.Name, time.Now()) {
-		release()
+		st.release()
 		return causeBudget
 	}
 	s.retryCharged = false
 	s.sends++
-	s.launch(first, path, release)
+	s.launch(st)
 	return ""
 }
 
