quarantine, delivery, completion: refused callers return over a while in both protocols

The spread that forward had is now a method of the decision, which all three use. TestRefusedCallersReturnAtDifferentTimes.

--- a/completion/crash.go
+++ b/completion/crash.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	return &outcome.Error{
-		Op: "complete", Kind: outcomeKind(mayHaveRun), Cause: outcome.CauseQuarantined, RetryAfter: d.RetryAfter,
+		Op: "complete", Kind: outcomeKind(mayHaveRun), Cause: outcome.CauseQuarantined, RetryAfter: d.ReturnAfter(),
 		Message: "engines crashed when they began to answer this request, or prompts with the same beginning",
 	}
 }
--- a/delivery/crash.go
+++ b/delivery/crash.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	return &outcome.Error{
-		Op: "deliver", Kind: outcome.NotRun, Cause: outcome.CauseQuarantined, RetryAfter: decision.RetryAfter,
+		Op: "deliver", Kind: outcome.NotRun, Cause: outcome.CauseQuarantined, RetryAfter: decision.ReturnAfter(),
 		Message: "replicas crashed when they ran this call",
 	}
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"bulrushshed/ingress"
@@ -15,10 +14,6 @@
 	// findingsWaitFraction does as a fraction of a rule's target latency.
 	maxFindingsWait      = 300 * time.Millisecond
 	findingsWaitFraction = 0.6
-	// minReturnSpread and maxReturnSpread bound the time over which the callers return
-	// that are refused for the same hold. It is as long as the rest of the hold.
-	minReturnSpread = time.Second
-	maxReturnSpread = 30 * time.Second
 	// reachableChecks is the number of other replicas of which one must be reached, or
 	// else this host itself may be cut off.
 	reachableChecks = 3
@@ -54,16 +49,10 @@
 	if d.Admitted {
 		return ""
 	}
-	c.quarantinedFor = d.RetryAfter
+	c.returnAfterHold = d.ReturnAfter()
 	return causeQuarantined
 }
 
-// returnAfterHold returns when a caller should return that is refused for a hold. Callers
-// return at different times, as only one of them is tried then.
-func (c *call) returnAfterHold() time.Duration {
-	return c.quarantinedFor + rand.N(min(max(c.quarantinedFor, minReturnSpread), maxReturnSpread))
-}
-
 // observeCrash records a crash if the attempt broke off at its beginning, and its first
 // engine does not answer a check.
 func (s *stream) observeCrash(cause string) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -113,8 +113,8 @@
 	// features has all by which it may crash replicas.
 	fingerprint uint64
 	features    []quarantine.Feature
-	// quarantinedFor is how long a feature of the request is held, if one is.
-	quarantinedFor time.Duration
+	// returnAfterHold is when the caller should return if a feature of the request is held.
+	returnAfterHold time.Duration
 	// mayHaveRun is set once a replica has received the request and has not
 	// reported that it did not run it.
 	mayHaveRun bool
@@ -241,7 +241,7 @@
 	case cause == causeLimited:
 		return c.refuse(cause, c.returnAfterLimit())
 	case cause == causeQuarantined:
-		return c.refuse(cause, c.returnAfterHold())
+		return c.refuse(cause, c.returnAfterHold)
 	}
 	return c.refuse(cause, minRetryAfter+rand.N(minRetryAfter))
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -88,7 +88,7 @@
 	d := p.f.Quarantine.Admit(p.req.ID, p.features, time.Now())
 	if !d.Admitted || d.Trial && p.inFlight > 0 {
 		pending.Cancel()
-		p.quarantinedFor = d.RetryAfter
+		p.returnAfterHold = d.ReturnAfter()
 		return causeQuarantined
 	}
 	if p.sends > 0 && !p.f.Budget.AllowRetry(p.service.Name, time.Now()) {
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -117,6 +117,26 @@
 	is.True(crashes >= 4) // it is tried again now and then
 }
 
+// Callers that are refused for the same hold return over a while after its end.
+func TestRefusedCallersReturnAtDifferentTimes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	tracker := newTracker(nil)
+	tracker.RecordCrash(requestOf(1), "r1", at(0))
+	tracker.RecordCrash(requestOf(1), "r2", at(0))
+	const hold, callers = 30 * time.Second, 300
+	perSecond := map[time.Duration]int{}
+	for range callers {
+		after := tracker.Check("r", requestOf(1), at(0)).ReturnAfter()
+		is.True(after >= hold)
+		is.True(after <= 2*hold)
+		perSecond[after.Truncate(time.Second)]++
+	}
+	for _, n := range perSecond {
+		is.True(n <= callers/5)
+	}
+}
+
 // Hosts end a hold one after the other, so that only one of them tries the feature.
 func TestHoldsEndAtDifferentTimes(t *testing.T) {
 	t.Parallel()
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,10 @@
 	trialTimeout = 5 * time.Second
 	// trialRetryAfter is the Retry-After delay while a trial is due or running.
 	trialRetryAfter = 500 * time.Millisecond
+	// minReturnSpread and maxReturnSpread bound the time over which the callers return
+	// that are refused for the same hold. It is as long as the rest of the hold.
+	minReturnSpread = time.Second
+	maxReturnSpread = 30 * time.Second
 	// maxSuspects limits the features with findings that are remembered, and maxCrashes
 	// the crashes that are remembered for each.
 	maxSuspects = 256
@@ -74,6 +79,12 @@
 	RetryAfter time.Duration
 }
 
+// ReturnAfter returns when the caller of a refused request should return. Callers return
+// at different times, as only one of them is tried when a hold ends.
+func (d Decision) ReturnAfter() time.Duration {
+	return d.RetryAfter + rand.N(min(max(d.RetryAfter, minReturnSpread), maxReturnSpread))
+}
+
 // Admit decides whether a request with the given features may be sent to a replica. It
 // must be called before each send.
 func (t *Tracker) Admit(requestID string, features []Feature, now time.Time) Decision {
