quarantine: copies of a sound request go on after a crash

Cause: after one crash only one copy of a request was tried at a time in the fleet, and after two crashes all were refused. Copies of a popular sound request are at several replicas, so a crash of any of them refused the others until one copy had succeeded.

Fix: after one crash copies go on; each is only not hedged.

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -3,10 +3,11 @@
 //
 // If a replica crashes just as it begins to run a request, a [Feature] of that request may
 // be the cause: one of the parts of its prompt, which other requests share, or the request
-// as a whole, known by its fingerprint. A [Tracker] records such crashes by feature. A part
-// is proven while answers with it have succeeded recently. An unproven part is held after
-// one crash, a proven one or a whole request after two without a success in between:
-// requests with it are refused. A request that may have crashed one replica is tried alone.
+// as a whole, known by its fingerprint. A [Tracker] records such crashes by feature. A
+// feature is proven while answers with it have succeeded recently. A part is held after one
+// crash, or after two without a success in between if it is proven; a whole request after
+// two, or four if it is proven: requests with it are refused. A request that may have
+// crashed one replica is sent to one at a time.
 //
 // A success clears a feature, so that in the end only the one that the crashes have in
 // common is held. A request that has only some of the features suspected together is tried
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -19,9 +19,12 @@
 	holdGrowth   = 4
 	maxHold      = 10 * time.Minute
 	// provenCrashLimit is the number of crashes from which on a part is held although
-	// it is proven. For a request as a whole it always applies, as sound requests may
-	// be at a replica that another one crashes.
+	// it is proven, and a request as a whole that is not, as sound requests may be at a
+	// replica that another one crashes.
 	provenCrashLimit = 2
+	// provenRequestCrashLimit is the one for a request as a whole that is proven. Copies
+	// of a sound request may be at several replicas that crash at once.
+	provenRequestCrashLimit = 4
 	// finalHold is the hold of a request as a whole from its finalCrash-th crash on.
 	finalCrash = 5
 	finalHold  = 24 * time.Hour
@@ -60,7 +63,10 @@
 
 	mu       sync.Mutex
 	suspects map[Feature]*suspect
-	proven   provenParts
+	// provenParts and provenRequests have the hashes of the features with which answers
+	// have succeeded at this host.
+	provenParts    provenSet
+	provenRequests provenSet
 }
 
 // New returns a tracker without findings.
@@ -71,8 +77,8 @@
 // Decision tells whether a request may be sent to an engine.
 type Decision struct {
 	Admitted bool
-	// Trial is set if an admitted request has a suspected feature. It must be sent to one
-	// replica at a time.
+	// Trial is set if an admitted request may have crashed a replica before. It must be
+	// sent to one replica at a time.
 	Trial bool
 	// RetryAfter is the time after which another attempt makes sense if the request is
 	// not admitted.
@@ -112,12 +118,13 @@
 func (t *Tracker) decide(requestID string, features []Feature, now time.Time) (d Decision, tried []Feature) {
 	for _, feature := range features {
 		s, held := t.heldSuspect(feature, now)
-		// A request that may have crashed one replica is tried alone.
-		suspected := held || s != nil && s.kind == FeatureRequest && len(s.crashed) > 0
-		if !suspected {
+		if !held {
+			// Copies of a request that may have crashed a replica are not refused, as it
+			// is mostly sound.
+			d.Trial = d.Trial || s != nil && s.kind == FeatureRequest && len(s.crashed) > 0
 			continue
 		}
-		if held && now.Before(s.heldUntil) && !t.lacksSuspect(s, features, now) {
+		if now.Before(s.heldUntil) && !t.lacksSuspect(s, features, now) {
 			return Decision{RetryAfter: s.heldUntil.Sub(now)}, nil
 		}
 		if !s.mayTry(requestID, now) {
@@ -125,7 +132,7 @@
 		}
 		tried = append(tried, feature)
 	}
-	return Decision{Admitted: true, Trial: len(tried) > 0}, tried
+	return Decision{Admitted: true, Trial: d.Trial || len(tried) > 0}, tried
 }
 
 // startTrials records that a request tries features, and returns this as findings.
@@ -149,15 +156,25 @@
 	}
 	proven := t.isProven(feature, now)
 	limit := provenCrashLimit
-	if feature.Kind == FeaturePart && !proven {
+	switch {
+	case feature.Kind == FeaturePart && !proven:
 		limit = t.opts.UnprovenCrashLimit
+	case feature.Kind == FeatureRequest && proven:
+		limit = provenRequestCrashLimit
 	}
 	return s, t.crashCount(s, proven) >= limit
 }
 
-// isProven reports whether the feature is a part with a good record.
+// isProven reports whether the feature has a good record.
 func (t *Tracker) isProven(feature Feature, now time.Time) bool {
-	return feature.Kind == FeaturePart && t.proven.contains(feature.Hash, now)
+	return t.provenSet(feature).contains(feature.Hash, now)
+}
+
+func (t *Tracker) provenSet(feature Feature) *provenSet {
+	if feature.Kind == FeaturePart {
+		return &t.provenParts
+	}
+	return &t.provenRequests
 }
 
 // crashCount returns the number of crashes that may be due to a feature. A crash is not if
@@ -167,7 +184,7 @@
 	n := len(s.crashed)
 	for replica := range s.crashed {
 		for _, other := range t.suspects {
-			more := len(other.crashed) > len(s.crashed) || proven && other.kind == FeatureRequest && len(other.crashed) == len(s.crashed)
+			more := len(other.crashed) > len(s.crashed) || proven && s.kind == FeaturePart && other.kind == FeatureRequest && len(other.crashed) == len(s.crashed)
 			if more && other.crashed[replica] {
 				n--
 				break
@@ -191,7 +208,9 @@
 // suspected, and the request as a whole.
 func (t *Tracker) RecordCrash(features []Feature, replica string, now time.Time) {
 	t.mu.Lock()
-	unproven := func(feature Feature, _ int) bool { return !t.isProven(feature, now) }
+	unproven := func(feature Feature, _ int) bool {
+		return feature.Kind == FeatureRequest || !t.isProven(feature, now)
+	}
 	accused := lo.Filter(features, unproven)
 	if !lo.ContainsBy(accused, func(feature Feature) bool { return feature.Kind == FeaturePart }) {
 		accused = features
@@ -214,9 +233,7 @@
 	t.mu.Lock()
 	var cleared []Finding
 	for _, feature := range features {
-		if feature.Kind == FeaturePart {
-			t.proven.add(feature.Hash, now)
-		}
+		t.provenSet(feature).add(feature.Hash, now)
 		s, ok := t.suspects[feature]
 		if ok && len(s.crashed) > 0 && began.After(s.changedAt) {
 			f := Finding{Kind: KindCleared, Feature: feature, Generation: s.generation, Lasted: now.Sub(s.suspectedAt)}
