--- a/engine/message.go
+++ b/engine/message.go
@@ -76,7 +76,7 @@
 const (
 	// HeaderNotRun is set if the request had no effect.
 	HeaderNotRun = "Not-Run"
-	// HeaderLimit is set by an engine in need: the streams a second that it takes from
+	// HeaderLimit is set by an overloaded engine: the streams a second that it takes from
 	// all hosts together as the first of their routes. Other requests don't count.
 	HeaderLimit = "Request-Limit"
 )
--- a/service/call.go
+++ b/service/call.go
@@ -7,7 +7,7 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderRequestID = "Request-Id"
 	HeaderNotRun    = "Not-Run"
-	// HeaderLimit is set on a response by a replica in need: the calls a second that it
+	// HeaderLimit is set on a response by an overloaded replica: the calls a second that it
 	// takes from all hosts together.
 	HeaderLimit = "Request-Limit"
 )
