forward: refusals do not end a running stream, and no engine is asked again at once

Callers saw an answer break off midway (LOST) although replicas could take it: sends that were refused, some of them seconds ago, counted as attempts. And an engine that had just refused a stream, naming a later engine of the path, was asked again within milliseconds.

A stream that has begun counts sends that ran or may have run; it waits while engines refuse it or cannot be reached, as long as its caller stays. Before its first event the bound on sends stays as it was, so that a caller who has nothing yet is refused at once. The first engine of a refused path is not asked again by that stream for 300 ms. Each send after the first is charged to the retry budget as before. Plain requests stay as they are: max_attempts counts the replicas that they are sent to.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -118,6 +118,7 @@
 		return causeBrokenAnswer
 	}
 	if u.answer.NotRun {
+		s.refusals++
 		s.suspectRefusing(u.answer, a.first)
 		return causeRefused
 	}
@@ -140,13 +141,16 @@
 }
 
 // suspectRefusing excludes the engine that refused the stream from new paths for
-// refusedExclusion; it may have capacity again after that.
+// refusedExclusion; it may have capacity again after that. The first engine of the path,
+// which passed the refusal on, is not asked again by this stream for as long.
 func (s *stream) suspectRefusing(a *UpstreamResponse, first replica.Replica) {
 	address := a.FailedEngine
 	if address == "" {
 		address = first.Address
 	}
-	s.f.Planner.SuspectBusy(address, time.Now().Add(refusedExclusion))
+	until := time.Now().Add(refusedExclusion)
+	s.refusedUntil[first.Address] = until
+	s.f.Planner.SuspectBusy(address, until)
 }
 
 // suspectFailed excludes an engine that could not be reached from new paths for
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -115,7 +115,6 @@
 func (s *stream) selectStart() (st start, cause string) {
 	v := s.f.Replicas.View()
 	req := s.pathRequest()
-	req.NotFirst = map[string]bool{}
 	var e exhausted
 	urgent := s.begun()
 	if !urgent {
@@ -149,7 +148,7 @@
 // awaitStart waits for the next turn at the engine that takes a request first, and selects
 // a path that starts there.
 func (s *stream) awaitStart(v *replica.View, req pipeline.PathRequest, e exhausted) (st start, cause string) {
-	req.NotFirst = nil
+	req.NotFirst = s.refusing(time.Now())
 	req.FirstHops = map[string]bool{e.Soonest.Address: true}
 	if !s.f.Planner.HasPath(v, req, time.Now()) || !s.awaitTurn(s.ctx, e, s.begun()) {
 		return start{}, causeLimited
--- a/forward/refusal_test.go
+++ b/forward/refusal_test.go
@@ -49,3 +49,27 @@
 		is.Equal(ids, idsUpTo(eventCount))
 	})
 }
+
+// An engine that has just refused a stream must not be asked again at once.
+func TestRefusingEngineIsNotAskedAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(100)
+		asked := map[string]time.Time{}
+		refuse := func(_ context.Context, s forward.Send) *forward.UpstreamResponse {
+			if last, ok := asked[s.Replica.ID]; ok && time.Since(last) < 300*time.Millisecond {
+				t.Errorf("engine %s: got a send %v after its refusal, want at least 300 ms", s.Replica.ID, time.Since(last))
+			}
+			asked[s.Replica.ID] = time.Now()
+			a := answerWith(503, "")
+			a.NotRun = true
+			a.FailedEngine = "e2"
+			return a
+		}
+		f.upstream.streamBy["e0"], f.upstream.streamBy["e1"] = refuse, refuse
+		resp := f.forwarder.Do(t.Context(), request("stream"))
+		is.Equal(resp.Status, 503)
+		is.True(resp.RetryAfter > 0)
+	})
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -44,7 +44,9 @@
 // replicas have run it. Once as many have as the rule allows attempts, only one of
 // them may receive it again.
 func (s *stream) pathRequestAfter(ran map[string]bool) pipeline.PathRequest {
-	req := pipeline.PathRequest{Service: s.service.Name, Model: s.service.Model, Tokens: s.tokens(), Avoid: maps.Clone(s.tried)}
+	req := pipeline.PathRequest{
+		Service: s.service.Name, Model: s.service.Model, Tokens: s.tokens(), Avoid: maps.Clone(s.tried), NotFirst: s.refusing(time.Now()),
+	}
 	if len(ran) < s.rule.MaxAttempts {
 		return req
 	}
@@ -58,6 +60,32 @@
 	return req
 }
 
+// refusing returns the engines that have just refused the stream.
+func (s *stream) refusing(now time.Time) map[string]bool {
+	refusing := map[string]bool{}
+	for address, until := range s.refusedUntil {
+		if now.Before(until) {
+			refusing[address] = true
+		}
+	}
+	return refusing
+}
+
+// whyExhausted returns causeAttempts if the stream may not be sent again, or "". Once
+// its caller reads the answer, refusals and unreachable engines do not end it: it waits
+// until an engine takes it.
+func (s *stream) whyExhausted() string {
+	limit := s.rule.MaxAttempts + extraSends
+	exhausted := s.sends-s.refusals >= limit
+	if !s.begun() {
+		exhausted = s.sends >= limit || s.unreachable > maxUnreachable
+	}
+	if exhausted {
+		return causeAttempts
+	}
+	return ""
+}
+
 // whyBlocked returns why no attempt may start now, or "".
 func (s *stream) whyBlocked() string {
 	if err := s.reauthorize(); err != nil {
@@ -66,7 +94,7 @@
 	switch {
 	case s.ctx.Err() != nil || time.Until(s.deadline) < minRemaining:
 		return causeDeadline
-	case s.sends >= s.rule.MaxAttempts+extraSends, s.unreachable > maxUnreachable:
+	case s.whyExhausted() != "":
 		return causeAttempts
 	case len(s.ran) > 0 && !s.rule.Resumable:
 		return "not_resumable"
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,7 +24,7 @@
 	resumeTimeout  = 3 * time.Second
 	resumeInterval = 100 * time.Millisecond
 	// extraSends is how many sends beyond the rule's MaxAttempts a stream may use,
-	// if replicas refuse it or one of them receives it again.
+	// if replicas refuse it before it begins or one of them receives it again.
 	extraSends = 2
 )
 
@@ -67,6 +67,10 @@
 	// unreachable counts those that could not be reached.
 	ran         map[string]bool
 	unreachable int
+	// refusals counts the sends that were answered as not run. refusedUntil holds, by address, until when an engine that has just refused the
+	// stream is not asked again.
+	refusals     int
+	refusedUntil map[string]time.Time
 	// retryCharged is set if the next attempt has been charged to the budget already.
 	retryCharged bool
 	// lastFirstHop is the address at which the last attempt started, once it has
@@ -88,7 +92,7 @@
 // serveStream serves a request by events. It returns once the first event is available
 // or the request has failed.
 func (c *call) serveStream(ctx context.Context, cancel context.CancelFunc) *Response {
-	s := &stream{call: c, ctx: ctx, cancel: cancel, lastID: -1, ran: map[string]bool{}}
+	s := &stream{call: c, ctx: ctx, cancel: cancel, lastID: -1, ran: map[string]bool{}, refusedUntil: map[string]time.Time{}}
 	if n, err := strconv.ParseInt(c.req.LastEvent, 10, 64); err == nil {
 		s.lastID = n
 	}
