--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -207,7 +207,7 @@
 func (c *cursor) applyPage(p feed.Page, snapshot bool, currentAsOf time.Duration, direct bool) {
 	if !c.connected {
 		c.connected = true
-		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", direct)
+		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", direct, "from", c.next, "next", p.Next, "snapshot", snapshot)
 	}
 	if snapshot || len(p.Changes) > 0 {
 		c.apply(p, snapshot)
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -81,6 +81,8 @@
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
+	// storeEra is the era of the store's last answer.
+	storeEra atomic.Int64
 	// replicasKnown is set once the replica list has been read.
 	replicasKnown atomic.Bool
 	// stopping is set when a graceful stop begins, and never cleared.
@@ -102,6 +104,13 @@
 	return h.table.Load(), fresh
 }
 
+// observeEra logs each new era of the store.
+func (h *Host) observeEra(era int64) {
+	if old := h.storeEra.Swap(era); old != era {
+		h.log.Info("store: era changed", "from", old, "to", era)
+	}
+}
+
 // Run serves until the stop context ends, and then stops gracefully. The
 // injector must come from [Wire].
 func Run(stop context.Context, i do.Injector) error {
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -38,12 +38,12 @@
 	level.Set(cfg.Log.SlogLevel())
 	h := &Host{
 		cfg: cfg, logWriter: lines, level: level, log: cfg.Log.Logger(lines, cfg.Name, level),
-		store:     platform.NewStore(cfg.StoreAddress, storeTimeout),
 		freshness: ingress.NewFreshness(time.Duration(freshnessFraction*float64(cfg.Revoke.D())), bootTime),
 		replicas:  replica.NewList(outageGracePeriod),
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
 	}
+	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
 	identity, err := newPeerIdentity(cfg.Name, h)
 	if err != nil {
 		return nil, err
