--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -385,3 +385,11 @@
 		is.Equal(len(e.receivedOrders()), 1)
 	}
 }
+
+// orderedFence returns the fencing token of an order.
+func orderedFence(order string) int64 {
+	var in struct{ Fence int64 }
+	// An order that cannot be decoded has no token.
+	_ = json.Unmarshal([]byte(order), &in)
+	return in.Fence
+}
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -24,6 +24,8 @@
 	server *httptest.Server
 
 	mu sync.Mutex
+	// era counts the histories of the store: each restore begins a new one.
+	era int64
 	// topics holds the records of each keyed topic, in order.
 	topics map[string][]record
 	// changed is closed and replaced on each change.
@@ -67,6 +69,7 @@
 			<-r.Context().Done()
 			return
 		}
+		maps.Copy(w.Header(), recorded.Header())
 		w.WriteHeader(recorded.Code)
 		_, _ = w.Write(recorded.Body.Bytes())
 	}))
@@ -132,7 +135,7 @@
 }
 
 func newStore(t *testing.T) *store {
-	s := &store{topics: map[string][]record{}, changed: make(chan struct{}), waiting: map[string]int{}}
+	s := &store{era: 1, topics: map[string][]record{}, changed: make(chan struct{}), waiting: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/log-newest", s.newest)
 	mux.HandleFunc("POST /api/log-append", s.append)
@@ -143,6 +146,7 @@
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		down := s.down || s.unreadable != "" && r.URL.Query().Get("topic") == s.unreadable
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -156,14 +160,50 @@
 
 // put appends a record of a key to a topic; a nil value deletes the key.
 func (s *store) put(topic, key string, value any) {
-	var text []byte
-	if value != nil {
-		var err error
-		if text, err = json.Marshal(value); err != nil {
-			panic(err)
-		}
+	s.appendRecords(topic, newRecord(key, value))
+}
+
+func newRecord(key string, value any) record {
+	if value == nil {
+		return record{key: key}
 	}
-	s.appendRecords(topic, record{key: key, value: string(text)})
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return record{key: key, value: string(text)}
+}
+
+// storeCopy is a copy of what the store holds.
+type storeCopy struct {
+	topics     map[string][]record
+	members    []member
+	generation int64
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{topics: map[string][]record{}, members: slices.Clone(s.members), generation: s.generation}
+	for name, records := range s.topics {
+		c.topics[name] = slices.Clone(records)
+	}
+	return c
+}
+
+// put appends a record that is written after the restore, before any host reads.
+func (c storeCopy) put(topic, key string, value any) {
+	c.topics[topic] = append(c.topics[topic], newRecord(key, value))
+}
+
+// restore begins a new era with what a copy holds.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.topics, s.members, s.generation = c.topics, c.members, c.generation
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // append serves an append.
@@ -246,6 +286,10 @@
 		all := s.topics[q.Get("topic")]
 		changed := s.changed
 		s.mu.Unlock()
+		if from > len(all) {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(all) > from {
 			writeRecords(w, all[from:])
 			return
