feed, platform, hosted: a position is an era and an offset

Callers got answers of an older configuration from some hosts, for good (CONFIG), after the store had come back from an older copy. Two causes of one class, offsets that are taken for positions across a restore:

- A reader keeps the page that it compressed for its followers by first and next offset.
A version at the offset of a lost one was answered with the lost one's page; followers ignored it as old and went on behind the new one.
- A read went on at the old offset if more had been written since than was lost, and missed what lies between.

The store names its era in each answer. Positions of the feed, the kept page and the requests of followers carry the era; a host that has seen a new era offers nothing of an older one. Hosts of older versions ask by offset as before, and their responses are not used.

--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -81,7 +81,7 @@
 	switch {
 	case err != nil:
 		return feed.Response{}, err
-	case reply.Feed == nil || reply.Feed.Host != from.Name || !reply.Feed.Usable(req.Next):
+	case reply.Feed == nil || reply.Feed.Host != from.Name || !reply.Feed.Usable(feed.Position{Era: req.Era, Offset: req.Next}):
 		return feed.Response{}, errUnusableResponse
 	}
 	r.lastResponse.Store(int64(r.host.freshness.Now()))
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -50,8 +50,8 @@
 type cursor struct {
 	subscription
 	host *Host
-	// next is the offset of the next change to read, or -1 to read a snapshot.
-	next int64
+	// next is the position of the next change to read, or feed.Start to read a snapshot.
+	next feed.Position
 	// connected is cleared when a read of the store fails, and set when changes
 	// are received again from the store or from another host. backoff computes the
 	// delay between failing reads, and retryAt is when the store is read next.
@@ -77,7 +77,7 @@
 // follow reads a snapshot of a topic and then its changes, until ctx ends.
 func (h *Host) follow(ctx context.Context, s subscription) <-chan error {
 	done := make(chan error, 1)
-	c := &cursor{subscription: s, host: h, next: -1, connected: true}
+	c := &cursor{subscription: s, host: h, next: feed.Start, connected: true}
 	go func() {
 		defer func() { done <- nil }()
 		for ctx.Err() == nil {
@@ -132,7 +132,8 @@
 	c.skipWait = true
 	sentAt := c.host.freshness.Now()
 	resp, err := c.host.feed.poll(ctx, from, feed.Request{
-		Topic: c.topic, Next: c.next, CurrentAsOf: c.sourceCurrentAsOf, Generation: c.host.group.membersGeneration(), Wait: feedPollTimeout, WaitForReader: !c.connected,
+		Topic: c.topic, Next: c.next.Offset, Era: c.next.Era, KnowsEras: true, CurrentAsOf: c.sourceCurrentAsOf,
+		Generation: c.host.group.membersGeneration(), Wait: feedPollTimeout, WaitForReader: !c.connected,
 	})
 	if err != nil {
 		if c.connected && ctx.Err() == nil {
@@ -166,7 +167,7 @@
 	var p feed.Page
 	var err error
 	switch {
-	case c.next < 0:
+	case c.next == feed.Start:
 		p, err = c.host.store.Newest(c.topic)
 	case c.skipWait || !c.connected:
 		// Without a wait time, a store that has recovered answers at once, and a
@@ -180,7 +181,7 @@
 		c.recordFailure(err)
 		return false
 	}
-	c.applyPage(p, c.next < 0, sentAt, true)
+	c.applyPage(p, c.next == feed.Start, sentAt, true)
 	if c.batchDelay > 0 && len(p.Changes) > 0 {
 		loop.SleepContext(ctx, c.batchDelay)
 	}
@@ -207,7 +208,7 @@
 func (c *cursor) applyPage(p feed.Page, snapshot bool, currentAsOf time.Duration, direct bool) {
 	if !c.connected {
 		c.connected = true
-		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", direct, "from", c.next, "next", p.Next, "snapshot", snapshot)
+		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", direct, "from", c.next, "next", p.End(), "snapshot", snapshot)
 	}
 	if snapshot || len(p.Changes) > 0 {
 		c.apply(p, snapshot)
@@ -215,7 +216,7 @@
 	}
 	c.confirm(currentAsOf)
 	c.host.feed.log.MarkCurrent(c.topic, currentAsOf, direct)
-	c.next = p.Next
+	c.next = p.End()
 }
 
 // recordFailure handles a failed read of the store. It logs only the first one
@@ -224,8 +225,8 @@
 func (c *cursor) recordFailure(err error) {
 	var e *platform.Error
 	if errors.As(err, &e) && e.Kind == platform.KindExpired {
-		c.host.log.Info("store: offset expired, reading a snapshot", "topic", c.topic, "offset", c.next)
-		c.next = -1
+		c.host.log.Info("store: offset expired, reading a snapshot", "topic", c.topic, "position", c.next, "cause", err.Error())
+		c.next = feed.Start
 		return
 	}
 	if c.connected {
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -172,13 +172,13 @@
 	}
 	g.host.feed.log.MarkStoreReached(sentAt)
 	g.applyMembership(m, sentAt)
-	return m.Generation, true
+	return m.Generation.Number, true
 }
 
 // readMembers reads the members and applies them as those of the given
 // generation. They may already be those of a later one.
 func (g *group) readMembers(generation int64) {
-	names, err := g.host.store.Members(groupName)
+	names, _, err := g.host.store.Members(groupName)
 	if err != nil {
 		g.host.log.Warn("group: reading the members failed, keeping the known ones", "cause", err.Error())
 		return
@@ -208,7 +208,7 @@
 	if m.OwnsFirstPartition != g.controlling {
 		g.host.log.Info("group: control lease changed", "held", m.OwnsFirstPartition, "generation", m.Generation)
 	}
-	g.generation = m.Generation
+	g.generation = m.Generation.Number
 	g.controlling = m.OwnsFirstPartition
 	g.leaseEnd = sentAt + memberTTL - leaseMargin
 }
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -104,11 +104,14 @@
 	return h.table.Load(), fresh
 }
 
-// observeEra logs each new era of the store.
+// observeEra records the era of an answer of the store.
 func (h *Host) observeEra(era int64) {
-	if old := h.storeEra.Swap(era); old != era {
-		h.log.Info("store: era changed", "from", old, "to", era)
+	old := h.storeEra.Load()
+	if era <= old || !h.storeEra.CompareAndSwap(old, era) {
+		return
 	}
+	h.log.Info("store: new era", "from", old, "to", era)
+	h.feed.log.ObserveEra(era)
 }
 
 // Run serves until the stop context ends, and then stops gracefully. The
--- a/feed/log.go
+++ b/feed/log.go
@@ -23,6 +23,8 @@
 	topics         map[string]*topic
 	members        Members
 	storeReachedAt time.Duration
+	// era is the newest era of the store that this host has seen.
+	era int64
 }
 
 type topic struct {
@@ -34,10 +36,10 @@
 	recent      []Change
 	recentSize  int
 	recentFrom  int64
-	next        int64
+	next        Position
 	currentAsOf time.Duration
-	// compressed caches the page from one offset up to next, since most
-	// followers ask from the same offset.
+	// compressed caches the page from one position up to next, since most
+	// followers ask from the same position.
 	compressed compressedPage
 	// changed is closed and replaced whenever one of the fields above changes.
 	changed chan struct{}
@@ -46,7 +48,7 @@
 // compressedPage is an encoded and compressed page. tooLarge is set if it
 // exceeds the size limits for relaying.
 type compressedPage struct {
-	from, next int64
+	from, next Position
 	bytes      []byte
 	tooLarge   bool
 }
@@ -72,10 +74,25 @@
 	for _, c := range p.Changes {
 		t.put(c, !snapshot)
 	}
-	t.next = p.Next
+	t.next = p.End()
+	l.era = max(l.era, p.Era)
 	t.notify()
 }
 
+// ObserveEra records the era of an answer of the store. Topics that were read in an older
+// one are not current any more.
+func (l *Log) ObserveEra(era int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era <= l.era {
+		return
+	}
+	l.era = era
+	for _, t := range l.topics {
+		t.notify()
+	}
+}
+
 // put stores a change as the newest of its key and, if addToRecent is set, as
 // the last of the recent changes.
 func (t *topic) put(c Change, addToRecent bool) {
@@ -131,7 +148,7 @@
 func (l *Log) SetMembers(m Members) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m.Generation <= l.members.Generation {
+	if m.At().Compare(l.members.At()) <= 0 {
 		return
 	}
 	l.members = m
@@ -186,19 +203,20 @@
 func (l *Log) currentResponse(r Request) (resp Response, changed <-chan struct{}, maxWait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	resp = Response{Host: l.host, Now: l.clock(), StoreReachedAt: l.storeReachedAt, Page: Page{Next: -1}}
+	resp = Response{Host: l.host, KnowsEras: true, Now: l.clock(), StoreReachedAt: l.storeReachedAt, Page: Page{Next: -1}}
 	t := l.topic(r.Topic)
-	if !t.direct {
+	if !t.direct || t.next.Era < l.era {
 		return resp, t.changed, r.readerWait()
 	}
 	resp.Direct = true
-	if l.members.Generation > r.Generation {
+	if l.members.At().Compare(r.members(l.members.Era)) > 0 {
 		known := l.members
 		resp.Members = &known
 	}
 	resp.CurrentAsOf = t.currentAsOf
-	t.fill(&resp, r.Next)
-	if resp.Members != nil || t.next > r.Next || t.currentAsOf > r.CurrentAsOf {
+	next := r.position(t.next.Era)
+	t.fill(&resp, next)
+	if resp.Members != nil || t.next.Compare(next) > 0 || t.currentAsOf > r.CurrentAsOf {
 		return resp, nil, 0
 	}
 	return resp, t.changed, l.storeReachedAt + StoreReachTTL - resp.Now
@@ -216,17 +234,18 @@
 	return 0
 }
 
-// fill adds the changes from an offset on to a response.
-func (t *topic) fill(resp *Response, next int64) {
+// fill adds the changes from a position on to a response.
+func (t *topic) fill(resp *Response, next Position) {
 	p, snapshot := t.pageFrom(next)
+	resp.Page.Era = p.Era
 	resp.Page.Next = p.Next
 	resp.Snapshot = snapshot
 	if p.size() <= maxPlainBytes {
 		resp.Page = p
 		return
 	}
-	if t.compressed.from != next || t.compressed.next != p.Next || t.compressed.bytes == nil {
-		t.compressed = compressedPage{from: next, next: p.Next}
+	if t.compressed.from != next || t.compressed.next != t.next || t.compressed.bytes == nil {
+		t.compressed = compressedPage{from: next, next: t.next}
 		if p.size() <= maxCompressInput {
 			// On an error, followers fetch the page from the store instead.
 			t.compressed.bytes, _ = p.compress()
@@ -240,12 +259,13 @@
 	resp.Compressed = t.compressed.bytes
 }
 
-// pageFrom returns the changes from an offset on, or a snapshot if some of them
-// are no longer held.
-func (t *topic) pageFrom(next int64) (p Page, snapshot bool) {
-	p.Next = t.next
-	if next >= t.recentFrom {
-		i, _ := slices.BinarySearchFunc(t.recent, next, func(c Change, offset int64) int { return cmp.Compare(c.Offset, offset) })
+// pageFrom returns the changes from a position on, or a snapshot if some of them
+// are no longer held or the position is of an older era.
+func (t *topic) pageFrom(next Position) (p Page, snapshot bool) {
+	p.Era = t.next.Era
+	p.Next = t.next.Offset
+	if next.Era >= t.next.Era && next.Offset >= t.recentFrom {
+		i, _ := slices.BinarySearchFunc(t.recent, next.Offset, func(c Change, offset int64) int { return cmp.Compare(c.Offset, offset) })
 		p.Changes = slices.Clone(t.recent[i:])
 		return p, false
 	}
--- a/feed/log_test.go
+++ b/feed/log_test.go
@@ -63,7 +63,7 @@
 		is := is.New(t)
 		l := newReaderLog(newClock(time.Hour))
 		a := l.Answer(t.Context(), feed.Request{Topic: topic, Next: c.next})
-		is.True(a.Usable(c.next))
+		is.True(a.Usable(feed.Position{Offset: c.next}))
 		is.Equal(a.Snapshot, c.snapshot)
 		is.Equal(len(a.Page.Changes), len(c.want))
 		for i, want := range c.want {
@@ -93,7 +93,7 @@
 		time.Sleep(2 * feed.StoreReachTTL)
 		l.MarkCurrent(topic, now(), false)
 		l.MarkCurrent(topic, old, true)
-		if l.Answer(t.Context(), feed.Request{Topic: topic, Next: -1}).Usable(-1) {
+		if l.Answer(t.Context(), feed.Request{Topic: topic, Next: -1}).Usable(feed.Position{Offset: -1}) {
 			t.Error("got a usable answer from a host that does not reach the store")
 		}
 	})
@@ -136,7 +136,7 @@
 				began := time.Now()
 				a := l.Answer(t.Context(), feed.Request{Topic: topic, Next: 8, CurrentAsOf: currentAsOf, Generation: 3, Wait: 600 * time.Millisecond})
 				is.Equal(time.Since(began), c.took)
-				is.Equal(a.Usable(8), c.name != "store unavailable")
+				is.Equal(a.Usable(feed.Position{Offset: 8}), c.name != "store unavailable")
 			})
 		})
 	}
@@ -155,7 +155,7 @@
 		began := time.Now()
 		a := l.Answer(t.Context(), feed.Request{Topic: topic, Next: 8, CurrentAsOf: currentAsOf, Wait: 600 * time.Millisecond})
 		is.Equal(time.Since(began), feed.StoreReachTTL-700*time.Millisecond)
-		is.True(!a.Usable(8))
+		is.True(!a.Usable(feed.Position{Offset: 8}))
 	})
 }
 
@@ -164,13 +164,13 @@
 	now := newClock(time.Hour)
 	for name, l := range map[string]*feed.Log{"unknown topic": feed.NewLog("entry-1", now), "topic read by another host": newFollowerLog(now)} {
 		a := l.Answer(t.Context(), feed.Request{Topic: topic, Next: -1, CurrentAsOf: 1, Wait: time.Hour})
-		if a.Usable(-1) {
+		if a.Usable(feed.Position{Offset: -1}) {
 			t.Errorf("%s: got a usable answer", name)
 		}
 	}
 	// A host that is behind the follower has nothing to offer, however recent
 	// its current-as-of time is.
-	if newReaderLog(now).Answer(t.Context(), feed.Request{Topic: topic, Next: 9}).Usable(9) {
+	if newReaderLog(now).Answer(t.Context(), feed.Request{Topic: topic, Next: 9}).Usable(feed.Position{Offset: 9}) {
 		t.Error("got a usable answer from a host that is behind")
 	}
 }
@@ -204,7 +204,7 @@
 			request.Topic, request.Next, request.Wait = topic, 8, 600*time.Millisecond
 			a := l.Answer(t.Context(), request)
 			is.Equal(time.Since(began), c.took)
-			is.Equal(a.Usable(8), c.usable)
+			is.Equal(a.Usable(feed.Position{Offset: 8}), c.usable)
 			time.Sleep(2 * time.Second)
 		})
 	}
@@ -349,7 +349,7 @@
 		l.Put(topic, feed.Page{Changes: []feed.Change{change(8, "config", c.value)}, Next: 9}, false)
 		for range 2 { // the second answer comes from the cache
 			a := l.Answer(t.Context(), feed.Request{Topic: topic, Next: 8})
-			is.True(a.Usable(8))
+			is.True(a.Usable(feed.Position{Offset: 8}))
 			is.Equal(len(a.Compressed) > 0, c.compressed)
 			is.True(len(a.Compressed) < len(text)/4)
 			is.Equal(a.Fetch, c.fetch)
--- a/feed/message.go
+++ b/feed/message.go
@@ -10,25 +10,34 @@
 	Value  []byte `cbor:"value,omitempty"`
 }
 
-// Page is a sequence of changes. Next is the offset at which the following page
-// begins.
+// Page is a sequence of changes, all in one era of the store. Next is the offset at
+// which the following page begins.
 type Page struct {
 	Changes []Change `cbor:"changes,omitempty"`
+	Era     int64    `cbor:"era,omitempty"`
 	Next    int64    `cbor:"next"`
 }
 
+// End returns the position at which the following page begins.
+func (p Page) End() Position { return Position{Era: p.Era, Offset: p.Next} }
+
 // Request asks a host for what it has read of a topic.
 type Request struct {
 	Topic string `cbor:"topic"`
 	// Next is the offset of the first change that the follower lacks, or -1 if
-	// it has none.
+	// it has none, and Era its era of the store.
 	Next int64 `cbor:"next"`
+	Era  int64 `cbor:"era,omitempty"`
+	// KnowsEras is set by hosts that know the eras of the store. A host of an older
+	// version takes offsets of all eras for those of one.
+	KnowsEras bool `cbor:"knows_eras,omitempty"`
 	// CurrentAsOf is the latest time, by the answering host's clock, as of
 	// which that host has reported the topic to be current.
 	CurrentAsOf time.Duration `cbor:"proved"`
-	// Generation is the generation of the group members that the follower
-	// knows.
+	// Generation is the generation of the group members that the follower knows, and
+	// GroupEra its era of the store.
 	Generation int64 `cbor:"generation"`
+	GroupEra   int64 `cbor:"group_era,omitempty"`
 	// Wait bounds how long the host may hold the request until there are
 	// changes.
 	Wait time.Duration `cbor:"wait"`
@@ -38,18 +47,43 @@
 	WaitForReader bool `cbor:"patient,omitempty"`
 }
 
-// Members lists the hosts of the group in one generation.
+// position returns the position of the first change that the follower lacks. An older
+// version asks in the era of this host.
+func (r Request) position(era int64) Position {
+	if r.KnowsEras {
+		era = r.Era
+	}
+	return Position{Era: era, Offset: r.Next}
+}
+
+// members returns the generation of the members that the follower knows. An older version
+// knows those of the era of this host.
+func (r Request) members(era int64) Generation {
+	if r.KnowsEras {
+		era = r.GroupEra
+	}
+	return Generation{Era: era, Number: r.Generation}
+}
+
+// Members lists the hosts of the group in one generation, which is of an era of the
+// store.
 type Members struct {
+	Era        int64    `cbor:"era,omitempty"`
 	Generation int64    `cbor:"generation"`
 	Names      []string `cbor:"names"`
 }
 
+// At returns the generation of the members.
+func (m Members) At() Generation { return Generation{Era: m.Era, Number: m.Generation} }
+
 // Response is what a host has read of a topic.
 type Response struct {
 	// Host identifies the incarnation of the answering host.
 	Host string `cbor:"host"`
-	// Direct is set if the host reads the topic from the store itself.
-	Direct bool `cbor:"direct"`
+	// Direct is set if the host reads the topic from the store itself, and KnowsEras if
+	// it knows the eras of the store.
+	Direct    bool `cbor:"direct"`
+	KnowsEras bool `cbor:"knows_eras,omitempty"`
 	// Snapshot is set if the page has the newest change of every key instead of
 	// the changes from the requested offset on.
 	Snapshot bool `cbor:"whole"`
@@ -78,10 +112,10 @@
 // follower's first request.
 const readerStartGrace = 200 * time.Millisecond
 
-// Usable reports whether a follower at the given offset may rely on the
+// Usable reports whether a follower at the given position may rely on the
 // response.
-func (r Response) Usable(next int64) bool {
-	return r.Direct && r.Now-r.StoreReachedAt < StoreReachTTL && r.Page.Next >= next
+func (r Response) Usable(next Position) bool {
+	return r.Direct && r.KnowsEras && r.Now-r.StoreReachedAt < StoreReachTTL && r.Page.End().Compare(next) >= 0
 }
 
 // ClockOffset is an upper bound on how far the clock of one other host is ahead
--- /dev/null
+++ b/feed/position.go
@@ -0,0 +1,30 @@
+package feed
+
+import "cmp"
+
+// Position is a place in a topic. The store begins a new era each time it is restored
+// from an older copy, and then gives out offsets again.
+type Position struct {
+	Era    int64
+	Offset int64
+}
+
+// Start precedes all positions.
+var Start = Position{Offset: -1}
+
+// Compare orders positions by era and then by offset.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Offset, q.Offset))
+}
+
+// Generation identifies a change of the group of hosts. Its number increases with each
+// change, but falls back when the store is restored.
+type Generation struct {
+	Era    int64
+	Number int64
+}
+
+// Compare orders generations by era and then by number.
+func (g Generation) Compare(h Generation) int {
+	return cmp.Or(cmp.Compare(g.Era, h.Era), cmp.Compare(g.Number, h.Number))
+}
