hosted, feed: the group's generation and the control lease are of one era

After the store had come back from an older copy, no layers were placed and hosts that joined stayed unknown until the generation, which falls back, had caught up: hosts kept the members of the higher number, and engines refused orders with a lower fencing token. A lease of the copy may also belong to another host than the one that still acts on it.

Generations are compared by era, then number. A heartbeat names a number only within its era. A lease is void once its host has seen another era, and one after a restore begins when the longest earlier one has ended.

--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -37,6 +37,10 @@
 	// startupJoinDelay is the time between joining the group and reading its
 	// members for the first time.
 	startupJoinDelay = 300 * time.Millisecond
+	// rejoinDelay is how long after the beginning of an era members are not read: the
+	// copy that the store was restored from lists the members of some time ago, and all
+	// hosts renew their membership within this time.
+	rejoinDelay = (followerHeartbeatTicks + 1) * heartbeatInterval
 	// maxHosts is the number of hosts up to which all are visible as members, and
 	// partitionsPerTopic the number of partitions of a group topic.
 	maxHosts           = 408
@@ -54,7 +58,9 @@
 
 // group is this host's membership in the group of entry hosts. The owner of the
 // first partition holds the control lease, which allows it to send orders to
-// engines, with the group's generation as its fencing token.
+// engines, with the group's generation as its fencing token. A restore of the store
+// takes the generation back and may give the lease to another host at once, so a lease
+// is of one era, and begins only after all leases of earlier eras have ended.
 type group struct {
 	host *Host
 	// memberName is this host's name in the group.
@@ -69,9 +75,9 @@
 	mu sync.Mutex
 	// generation is the group's generation as of the last heartbeat that the store
 	// has answered.
-	generation int64
+	generation feed.Generation
 	// peersGeneration is the generation of the group that peers belong to.
-	peersGeneration int64
+	peersGeneration feed.Generation
 	peers           []Peer
 	// pins holds the certificate pins of all members. source is the host from
 	// which this one receives changes, or nil if it reads the store itself.
@@ -141,7 +147,7 @@
 // refresh reads the members if they have changed. A host that has just joined can so
 // connect to this one before the next heartbeat.
 func (g *group) refresh() {
-	if g.host.stopping.Load() {
+	if g.host.stopping.Load() || g.rejoining() {
 		return
 	}
 	if generation, ok := g.join(); ok && generation != g.membersGeneration() {
@@ -156,49 +162,60 @@
 	if g.ticks++; g.host.stopping.Load() || g.ticks%followerHeartbeatTicks != 0 && !g.isReader() {
 		return
 	}
-	if generation, ok := g.join(); ok && generation != g.membersGeneration() && !g.host.feed.hasRecentResponse() {
+	if generation, ok := g.join(); ok && generation != g.membersGeneration() && !g.host.feed.hasRecentResponse() && !g.rejoining() {
 		g.readMembers(generation)
 	}
 }
 
+// rejoining reports whether members may still be missing in the group, since the store
+// was restored just now.
+func (g *group) rejoining() bool { return g.host.era.restoredWithin(rejoinDelay) }
+
 // join sends a heartbeat, which also joins the group, and returns the group's
 // generation.
-func (g *group) join() (generation int64, ok bool) {
+func (g *group) join() (generation feed.Generation, ok bool) {
 	sentAt := bootTime()
-	m, err := g.host.store.Join(groupName, g.memberName, groupTopics, memberTTL, g.lastGeneration())
+	m, err := g.host.store.Join(groupName, g.memberName, groupTopics, memberTTL, g.lastNumber())
 	if err != nil {
 		g.host.log.Debug("group: heartbeat failed, retrying", "cause", err.Error())
-		return 0, false
+		return feed.Generation{}, false
 	}
 	g.host.feed.log.MarkStoreReached(sentAt)
 	g.applyMembership(m, sentAt)
-	return m.Generation.Number, true
+	return m.Generation, true
 }
 
 // readMembers reads the members and applies them as those of the given
 // generation. They may already be those of a later one.
-func (g *group) readMembers(generation int64) {
-	names, _, err := g.host.store.Members(groupName)
+func (g *group) readMembers(generation feed.Generation) {
+	names, era, err := g.host.store.Members(groupName)
 	if err != nil {
 		g.host.log.Warn("group: reading the members failed, keeping the known ones", "cause", err.Error())
 		return
 	}
-	g.setMembers(feed.Members{Generation: generation, Names: names})
+	if era != generation.Era {
+		g.host.log.Info("group: store restored while the members were read, reading them again", "era", era, "generation", generation)
+		return
+	}
+	g.setMembers(feed.Members{Era: era, Generation: generation.Number, Names: names})
 }
 
 // membersGeneration returns the generation of the members that this host knows.
-func (g *group) membersGeneration() int64 {
+func (g *group) membersGeneration() feed.Generation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.peersGeneration
 }
 
-// lastGeneration returns the group's generation as of the last heartbeat, which
-// may be newer than that of the known members.
-func (g *group) lastGeneration() int64 {
+// lastNumber returns the number of the group's generation as of the last heartbeat, which
+// may be newer than that of the known members; 0 if the store has been restored since.
+func (g *group) lastNumber() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.generation
+	if g.generation.Era != g.host.era.current() {
+		return 0
+	}
+	return g.generation.Number
 }
 
 // applyMembership applies the response to a heartbeat that was sent at sentAt.
@@ -208,7 +225,7 @@
 	if m.OwnsFirstPartition != g.controlling {
 		g.host.log.Info("group: control lease changed", "held", m.OwnsFirstPartition, "generation", m.Generation)
 	}
-	g.generation = m.Generation.Number
+	g.generation = m.Generation
 	g.controlling = m.OwnsFirstPartition
 	g.leaseEnd = sentAt + memberTTL - leaseMargin
 }
@@ -220,10 +237,10 @@
 	peers := lo.FilterMap(m.Names, func(name string, _ int) (Peer, bool) { return parseMemberName(name) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.Generation <= g.peersGeneration {
+	if m.At().Compare(g.peersGeneration) <= 0 {
 		return
 	}
-	g.peersGeneration = m.Generation
+	g.peersGeneration = m.At()
 	g.pins = lo.SliceToMap(peers, func(p Peer) (string, bool) { return p.Pin, true })
 	if !g.left {
 		g.source = g.selectSource(peers)
@@ -232,7 +249,7 @@
 	peers = lo.UniqBy(peers, func(p Peer) string { return p.Address })
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	g.peers = peers
-	g.host.log.Info("group: members updated", "hosts", len(peers), "generation", m.Generation)
+	g.host.log.Info("group: members updated", "hosts", len(peers), "generation", m.At())
 }
 
 // selectSource returns the member from which this host receives changes, or nil
@@ -284,7 +301,7 @@
 func (g *group) size() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.peersGeneration == 0 {
+	if g.peersGeneration == (feed.Generation{}) {
 		return assumedHosts
 	}
 	return max(len(g.peers), 1)
@@ -295,7 +312,7 @@
 func (g *group) localSize() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.peersGeneration == 0 {
+	if g.peersGeneration == (feed.Generation{}) {
 		return assumedLocalHosts
 	}
 	n := lo.CountBy(g.peers, func(p Peer) bool { return p.FailureDomain == g.host.cfg.FailureDomain })
@@ -310,12 +327,15 @@
 }
 
 // controlLease reports whether this host may send orders to engines now, and
-// returns its fencing token.
+// returns its fencing token. A lease of an era that has ended is void, and one of a new
+// era begins after the longest lease of an earlier one has ended.
 func (g *group) controlLease() (fence int64, ok bool) {
 	now := bootTime()
+	era, age := g.host.era.age()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.generation, g.controlling && !g.left && now < g.leaseEnd
+	valid := g.generation.Era == era && (!g.host.era.restored() || age >= memberTTL-leaseMargin)
+	return g.generation.Fence(), valid && g.controlling && !g.left && now < g.leaseEnd
 }
 
 // leave removes this host from the group, so that it gets no new callers. The
@@ -336,7 +356,9 @@
 			// Publish the new members at once, so that this host's followers switch to
 			// another source. As those of the next generation, they replace the known
 			// ones.
-			g.readMembers(g.membersGeneration() + 1)
+			next := g.membersGeneration()
+			next.Number++
+			g.readMembers(next)
 		}
 	}()
 	return done
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -65,6 +65,7 @@
 	logWriter *lineWriter
 
 	store         *platform.Store
+	era           *eraClock
 	replicaClient platform.ReplicaClient
 	table         atomic.Pointer[ingress.Table]
 	freshness     *ingress.Freshness
@@ -81,8 +82,6 @@
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
-	// storeEra is the era of the store's last answer.
-	storeEra atomic.Int64
 	// replicasKnown is set once the replica list has been read.
 	replicasKnown atomic.Bool
 	// stopping is set when a graceful stop begins, and never cleared.
@@ -104,16 +103,6 @@
 	return h.table.Load(), fresh
 }
 
-// observeEra records the era of an answer of the store.
-func (h *Host) observeEra(era int64) {
-	old := h.storeEra.Load()
-	if era <= old || !h.storeEra.CompareAndSwap(old, era) {
-		return
-	}
-	h.log.Info("store: new era", "from", old, "to", era)
-	h.feed.log.ObserveEra(era)
-}
-
 // Run serves until the stop context ends, and then stops gracefully. The
 // injector must come from [Wire].
 func Run(stop context.Context, i do.Injector) error {
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -38,6 +38,7 @@
 	level.Set(cfg.Log.SlogLevel())
 	h := &Host{
 		cfg: cfg, logWriter: lines, level: level, log: cfg.Log.Logger(lines, cfg.Name, level),
+		era:       newEraClock(bootTime),
 		freshness: ingress.NewFreshness(time.Duration(freshnessFraction*float64(cfg.Revoke.D())), bootTime),
 		replicas:  replica.NewList(outageGracePeriod),
 		picker:    replica.NewPicker(cfg.FailureDomain),
--- a/feed/position.go
+++ b/feed/position.go
@@ -28,3 +28,13 @@
 func (g Generation) Compare(h Generation) int {
 	return cmp.Or(cmp.Compare(g.Era, h.Era), cmp.Compare(g.Number, h.Number))
 }
+
+// FirstEra is the era of a store that was never restored.
+const FirstEra = 1
+
+// numberBits is the size in bits of a generation's number in a fencing token.
+const numberBits = 32
+
+// Fence returns the generation as a fencing token. Tokens increase across eras; in the
+// first era they are the generation's number.
+func (g Generation) Fence() int64 { return max(g.Era-FirstEra, 0)<<numberBits | g.Number }
