hosted: what was applied stays in force across a restore, on hosts that start, too

After the store had come back from an older copy, a host that started before the operator had written again served keys that a lost version had revoked, and its followers would have got that configuration: it read the copy and took its confirmation for a current one.

A host keeps the text of what it has applied and relays that in place of an older version of the copy. Versions spread by gossip; a host that others are ahead of asks them for their configuration, whatever the store says. A confirmation counts in a new era only once the operator has written again: a version read as a change, the known version at another offset, a reader's word for either, or 2 s. The holder of the control lease keeps in the store that an era is settled, so that later starts do not wait.

--- a/daemon/hosted/era.go
+++ b/daemon/hosted/era.go
@@ -19,6 +19,9 @@
 	// witnessed is set if this host has seen the era before, so that the newest one is not
 	// older than seenAt by much.
 	witnessed bool
+	// settledEra is the newest era in which the operator is known to have written again
+	// what a restore has lost.
+	settledEra int64
 }
 
 // newEraClock returns an eraClock that has seen no era. The clock must also count the time
@@ -66,6 +69,27 @@
 	return c.witnessed && age < d
 }
 
+// rewriteTime is how long after a restore the operator may take to write again what it
+// wrote since the copy.
+const rewriteTime = 2 * time.Second
+
+// settle records that the operator has written again what the restore before an era has
+// lost.
+func (c *eraClock) settle(era int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settledEra = max(c.settledEra, era)
+}
+
+// settled reports whether the store has everything that it ever acknowledged to the
+// operator. A host that has just started does not know when the era began.
+func (c *eraClock) settled() bool {
+	era, age := c.age()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return era <= feed.FirstEra || c.settledEra >= era || age >= rewriteTime
+}
+
 // observeEra records the era of an answer of the store.
 func (h *Host) observeEra(era int64) {
 	old, isNewer := h.era.observe(era)
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -63,10 +63,13 @@
 	case m.Kind == peer.KindPermit && m.Permit != nil:
 		permit := r.host.limiter.Answer(*m.Permit, time.Now())
 		return peer.Reply{Permit: &permit}
+	case m.Kind == peer.KindConfig:
+		return r.host.configReply()
 	case m.Kind == peer.KindFeed && m.Feed != nil:
 		req := *m.Feed
 		req.Wait = min(req.Wait, feedPollTimeout)
 		resp := r.log.Answer(ctx, req)
+		resp.Settled = resp.Direct && r.host.era.settled()
 		return peer.Reply{Feed: &resp}
 	}
 	r.host.log.Warn("feed: message of unknown kind, sending an empty reply", "kind", string(m.Kind))
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -35,9 +35,10 @@
 	pollTimeout time.Duration
 	// batchDelay is the pause after a read that returned changes.
 	batchDelay time.Duration
-	// apply applies changes. snapshot is set if they are the complete state of the
-	// topic.
-	apply func(p feed.Page, snapshot bool)
+	// apply applies changes.
+	apply func(p feed.Page, from origin)
+	// relayed returns an applied page as it is passed on to followers.
+	relayed func(p feed.Page) feed.Page
 	// confirm records that all changes up to a time are applied. The time is by
 	// the clock of Host.freshness.
 	confirm func(at time.Duration)
@@ -45,6 +46,14 @@
 	markDown func()
 }
 
+// origin describes where a page comes from.
+type origin struct {
+	// snapshot is set if the page has the complete state of the topic.
+	snapshot bool
+	// direct is set if the page was read from the store.
+	direct bool
+}
+
 // cursor reads one topic and tracks the position in it. Only the loop that
 // follow starts uses it.
 type cursor struct {
@@ -158,7 +167,10 @@
 		return false
 	}
 	c.sourceCurrentAsOf = resp.CurrentAsOf
-	c.applyPage(page, resp.Snapshot, c.clockOffset.ToLocal(resp.CurrentAsOf), false)
+	if resp.Settled {
+		c.host.era.settle(page.Era)
+	}
+	c.applyPage(page, origin{snapshot: resp.Snapshot}, c.clockOffset.ToLocal(resp.CurrentAsOf))
 	return true
 }
 
@@ -182,7 +194,7 @@
 		c.recordFailure(err)
 		return false
 	}
-	c.applyPage(p, c.next == feed.Start, sentAt, true)
+	c.applyPage(p, origin{snapshot: c.next == feed.Start, direct: true}, sentAt)
 	if c.batchDelay > 0 && len(p.Changes) > 0 {
 		loop.SleepContext(ctx, c.batchDelay)
 	}
@@ -204,19 +216,18 @@
 }
 
 // applyPage applies a page and makes it available to followers. currentAsOf is
-// the time as of which the page is current; direct is set if it was read from
-// the store.
-func (c *cursor) applyPage(p feed.Page, snapshot bool, currentAsOf time.Duration, direct bool) {
+// the time as of which the page is current.
+func (c *cursor) applyPage(p feed.Page, from origin, currentAsOf time.Duration) {
 	if !c.connected {
 		c.connected = true
-		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", direct, "from", c.next, "next", p.End(), "snapshot", snapshot)
+		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", from.direct, "from", c.next, "next", p.End(), "snapshot", from.snapshot)
 	}
-	if snapshot || len(p.Changes) > 0 {
-		c.apply(p, snapshot)
-		c.host.feed.log.Put(c.topic, p, snapshot)
+	if from.snapshot || len(p.Changes) > 0 {
+		c.apply(p, from)
+		c.host.feed.log.Put(c.topic, c.relayed(p), from.snapshot)
 	}
 	c.confirm(currentAsOf)
-	c.host.feed.log.MarkCurrent(c.topic, currentAsOf, direct)
+	c.host.feed.log.MarkCurrent(c.topic, currentAsOf, from.direct)
 	c.next = p.End()
 }
 
--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -86,7 +86,7 @@
 func (f *findings) apply(_ context.Context, items []gossip.Item, _ string) {
 	now := time.Now()
 	for _, i := range items {
-		if f.host.limits.Merge(i, now) {
+		if i.Key == configKey || f.host.limits.Merge(i, now) {
 			continue
 		}
 		finding, ok := quarantine.ParseItem(i)
@@ -118,6 +118,7 @@
 				f.passOn(ctx)
 			case now := <-ticker.C:
 				f.table.Expire(now)
+				f.renewConfigItem()
 				if f.table.Len() > 0 {
 					f.compareDigests(ctx, 1)
 				}
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,7 @@
 	era           *eraClock
 	replicaClient platform.ReplicaClient
 	table         atomic.Pointer[ingress.Table]
+	applied       atomic.Pointer[appliedConfig]
 	freshness     *ingress.Freshness
 	replicas      *replica.List
 	picker        *replica.Picker
@@ -82,6 +84,8 @@
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
+	// configMu is held while a configuration replaces another one.
+	configMu sync.Mutex
 	// replicasKnown is set once the replica list has been read.
 	replicasKnown atomic.Bool
 	// stopping is set when a graceful stop begins, and never cleared.
@@ -126,6 +130,7 @@
 		h.group.run(loopCtx),
 		h.findings.run(loopCtx),
 		loop.Every(loopCtx, storeDelay, h.findings.store.write),
+		loop.Every(loopCtx, catchUpInterval, h.catchUpConfig),
 		loop.Every(loopCtx, controlInterval, h.controller.placeAll),
 		loop.Every(loopCtx, cleanupInterval, h.cleanUp),
 	}
--- a/daemon/hosted/restore_test.go
+++ b/daemon/hosted/restore_test.go
@@ -108,3 +108,21 @@
 	}
 	is.New(t).Equal(f.plain[0].callCount(), before)
 }
+
+// The holder of the control lease keeps in the store that the operator has had time to
+// write again, once in each era.
+func TestSettledEraIsKeptInStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 2)
+	f.awaitAccepted(t, "k1", f.hosts...)
+	for range 2 {
+		f.store.restore(f.store.copy())
+	}
+	await(t, "record of the settled era", func() bool { return len(f.store.keys("keyed.findings")) == 1 })
+	time.Sleep(2 * time.Second)
+	is.Equal(f.store.recordCount("keyed.findings"), 1)
+	f.hosts = append(f.hosts, f.start(t, 2))
+	f.awaitAccepted(t, "k1", f.hosts...)
+	is.Equal(f.store.keys("keyed.findings"), []string{"settled_era"})
+}
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -240,6 +240,13 @@
 	return slices.Collect(maps.Keys(lo.PickBy(values, func(_, value string) bool { return value != "" })))
 }
 
+// recordCount returns the number of records of a topic.
+func (s *store) recordCount(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topics[topic])
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/hosted/stored.go
+++ b/daemon/hosted/stored.go
@@ -24,6 +24,15 @@
 	maxUnstored = 256
 )
 
+// settledEraKey is the key of the record with the newest era in which the operator has
+// written again what a restore had lost. A host that starts need not wait for that then.
+const settledEraKey = "settled_era"
+
+// storedEra is the value of the record under settledEraKey.
+type storedEra struct {
+	Era int64 `cbor:"era"`
+}
+
 // storedFinding is the value of a finding in the store, whose key is that of its gossip
 // item.
 type storedFinding struct {
@@ -43,6 +52,8 @@
 	// recent has the findings since the last run of write, by key, and due those from
 	// before, which the next run writes.
 	recent, due map[string]gossip.Item
+	// era is the era of the record under settledEraKey, as this host has read or written it.
+	era int64
 }
 
 func newFindingStore(h *Host, table *gossip.Table) *findingStore {
@@ -70,21 +81,52 @@
 	s.due, s.recent = s.recent, map[string]gossip.Item{}
 	s.mu.Unlock()
 	maps.DeleteFunc(due, func(_ string, i gossip.Item) bool { return s.cleared(i) })
-	if len(due) == 0 {
-		return
-	}
 	now := time.Now().UnixMilli()
 	records := lo.MapToSlice(due, func(key string, i gossip.Item) feed.Change {
-		value, err := cbor.Marshal(storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now})
-		if err != nil {
-			panic(err)
-		}
-		return feed.Change{Key: key, Value: value}
+		return feed.Change{Key: key, Value: mustMarshal(storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now})}
 	})
+	era := s.eraToWrite()
+	if era > 0 {
+		records = append(records, feed.Change{Key: settledEraKey, Value: mustMarshal(storedEra{Era: era})})
+	}
+	if len(records) == 0 {
+		return
+	}
 	if err := s.host.store.Append(platform.TopicFindings, records); err != nil {
 		s.host.log.Debug("gossip: writing findings to the store failed, retrying", "cause", err.Error())
 		s.retry(due)
+		return
 	}
+	s.recordEra(era)
+}
+
+// mustMarshal encodes a value of a type that can always be encoded.
+func mustMarshal(v any) []byte {
+	out, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// eraToWrite returns the era to be written under settledEraKey, or 0. The holder of the
+// control lease writes it.
+func (s *findingStore) eraToWrite() int64 {
+	_, holds := s.host.group.controlLease()
+	era := s.host.era.current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !holds || era <= max(s.era, feed.FirstEra) || !s.host.era.settled() {
+		return 0
+	}
+	return era
+}
+
+// recordEra records the era that the store has under settledEraKey.
+func (s *findingStore) recordEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = max(s.era, era)
 }
 
 // cleared reports whether the feature of a crash has been cleared since.
@@ -118,6 +160,10 @@
 	var expired []feed.Change
 	now := time.Now()
 	for _, c := range page.Changes {
+		if c.Key == settledEraKey {
+			s.readEra(c.Value)
+			continue
+		}
 		i, ok := decodeStored(c, now)
 		if !ok {
 			expired = append(expired, feed.Change{Key: c.Key})
@@ -134,6 +180,17 @@
 	return items, nil
 }
 
+// readEra applies the record under settledEraKey.
+func (s *findingStore) readEra(value []byte) {
+	var stored storedEra
+	if err := cbor.Unmarshal(value, &stored); err != nil {
+		s.host.log.Warn("store: decoding the settled era failed, record ignored", "cause", err.Error())
+		return
+	}
+	s.recordEra(stored.Era)
+	s.host.era.settle(stored.Era)
+}
+
 // decodeStored returns the gossip item of a finding in the store; ok is false if it has
 // expired or cannot be decoded.
 func decodeStored(c feed.Change, now time.Time) (i gossip.Item, ok bool) {
--- a/daemon/hosted/topics.go
+++ b/daemon/hosted/topics.go
@@ -4,59 +4,34 @@
 	"time"
 
 	"bulrushshed/feed"
-	"bulrushshed/ingress"
 	"bulrushshed/platform"
 	"bulrushshed/replica"
 )
 
-func (h *Host) configSubscription() subscription {
-	return subscription{topic: platform.TopicConfig, pollTimeout: configPollTimeout, apply: h.applyConfig, confirm: h.freshness.Confirm, markDown: func() {}}
-}
-
-// applyConfig applies configurations that have a higher version than the
-// current one.
-func (h *Host) applyConfig(p feed.Page, _ bool) {
-	for _, c := range p.Changes {
-		if c.Key != platform.KeyConfig || len(c.Value) == 0 {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(c.Value)
-		if err != nil {
-			h.log.Error("config: decoding a configuration failed, configuration ignored", "offset", c.Offset, "cause", err.Error())
-			continue
-		}
-		old := h.table.Load()
-		if old != nil && cfg.Version <= old.Version {
-			continue
-		}
-		h.table.Store(ingress.NewTable(cfg))
-		h.log.Info("config: applied", "version", cfg.Version, "offset", c.Offset, "rules", len(cfg.Rules), "customers", len(cfg.Customers))
-	}
-}
-
 func (h *Host) replicaSubscription() subscription {
 	return subscription{
 		topic: platform.TopicReplicas, pollTimeout: replicasPollTimeout, batchDelay: replicasBatchDelay, apply: h.applyReplicas, markDown: h.replicas.MarkStoreDown,
+		relayed: func(p feed.Page) feed.Page { return p },
 		confirm: func(time.Duration) { h.replicas.MarkStoreUp(time.Now()) },
 	}
 }
 
-func (h *Host) applyReplicas(p feed.Page, snapshot bool) {
+func (h *Host) applyReplicas(p feed.Page, from origin) {
 	now := time.Now()
 	var all []replica.Replica
 	for _, c := range p.Changes {
 		r, ok := h.decodeReplica(c)
 		switch {
-		case snapshot && ok:
+		case from.snapshot && ok:
 			all = append(all, r)
-		case snapshot:
+		case from.snapshot:
 		case ok:
 			h.replicas.Put(r)
 		default:
 			h.replicas.Remove(c.Key, now)
 		}
 	}
-	if snapshot {
+	if from.snapshot {
 		h.replicas.Replace(all, now)
 		h.replicasKnown.Store(true)
 	}
--- a/feed/message.go
+++ b/feed/message.go
@@ -87,6 +87,9 @@
 	// Snapshot is set if the page has the newest change of every key instead of
 	// the changes from the requested offset on.
 	Snapshot bool `cbor:"whole"`
+	// Settled is set if the store has all that it ever acknowledged to the operator, which
+	// may not be so right after it was restored.
+	Settled bool `cbor:"settled,omitempty"`
 	// Page holds the changes. If they are large, they are in Compressed
 	// instead.
 	Page       Page   `cbor:"page"`
--- a/peer/message.go
+++ b/peer/message.go
@@ -30,12 +30,14 @@
 	KindDemand Kind = "demand"
 	// KindFeed asks for the changes of a topic.
 	KindFeed Kind = "feed"
+	// KindConfig asks for the newest configuration that the host has applied.
+	KindConfig Kind = "config"
 	// KindPermit asks for a permit for one request to a replica that names a limit.
 	KindPermit Kind = "permit"
 )
 
-// Message is one request. Only the field for its kind is set; KindJoin has
-// none, and KindRules uses Have.
+// Message is one request. Only the field for its kind is set; KindJoin and KindConfig
+// have none, and KindRules uses Have.
 type Message struct {
 	Kind     Kind                `cbor:"kind"`
 	Forward  *Forward            `cbor:"forward,omitempty"`
@@ -92,4 +94,7 @@
 	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
 	Feed     *feed.Response     `cbor:"feed,omitempty"`
 	Permit   *ratelimit.Permit  `cbor:"permit,omitempty"`
+	// Config is the newest configuration that the host has applied, as the operator wrote
+	// it.
+	Config []byte `cbor:"config,omitempty"`
 }
