replica, platform, hosted: a restored list brings no drained or departed replica back

After the store had come back from an older copy, replicas that had drained or left since got calls again, and those that had registered since were dropped at once where the return was noticed by an answer rather than by failed reads: the copy's entries replaced the known ones.

Replicas that the copy lacks stay for the grace period of an outage, in which live ones write again. Removed entries are remembered for 2 minutes, at most 4096.

TestRestoredListKeepsWhatIsKnownBetter has the cases.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -190,7 +190,12 @@
 		p, err = c.host.store.Read(c.topic, c.next, c.pollTimeout)
 	}
 	c.skipWait = false
-	if err != nil {
+	switch {
+	case err != nil && isExpired(err) && c.next != feed.Start:
+		c.host.log.Info("store: position expired, reading a snapshot", "topic", c.topic, "position", c.next, "cause", err.Error())
+		c.next = feed.Start
+		return c.readStore(ctx)
+	case err != nil:
 		c.recordFailure(err)
 		return false
 	}
@@ -231,16 +236,15 @@
 	c.next = p.End()
 }
 
+// isExpired reports whether the store no longer has the position that was read.
+func isExpired(err error) bool {
+	var e *platform.Error
+	return errors.As(err, &e) && e.Kind == platform.KindExpired
+}
+
 // recordFailure handles a failed read of the store. It logs only the first one
-// of a series. If the offset is no longer available, the next read is of a
-// snapshot.
+// of a series.
 func (c *cursor) recordFailure(err error) {
-	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.KindExpired {
-		c.host.log.Info("store: offset expired, reading a snapshot", "topic", c.topic, "position", c.next, "cause", err.Error())
-		c.next = feed.Start
-		return
-	}
 	if c.connected {
 		c.connected = false
 		c.host.log.Warn("store: read failed, retrying", "topic", c.topic, "cause", err.Error())
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -84,6 +84,9 @@
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
+	// replicasEra is the era of the store in which the replica list was last read. Only the
+	// loop that follows the list uses it.
+	replicasEra int64
 	// configMu is held while a configuration replaces another one.
 	configMu sync.Mutex
 	// replicasKnown is set once the replica list has been read.
--- a/daemon/hosted/topics.go
+++ b/daemon/hosted/topics.go
@@ -31,10 +31,15 @@
 			h.replicas.Remove(c.Key, now)
 		}
 	}
-	if from.snapshot {
+	switch {
+	case !from.snapshot:
+	case h.replicasKnown.Load() && p.Era > h.replicasEra:
+		h.replicas.Restore(all, now)
+	default:
 		h.replicas.Replace(all, now)
-		h.replicasKnown.Store(true)
 	}
+	h.replicasEra = p.Era
+	h.replicasKnown.Store(h.replicasKnown.Load() || from.snapshot)
 }
 
 // decodeReplica decodes an entry of the replica list and logs the change; ok is
--- a/replica/list.go
+++ b/replica/list.go
@@ -26,6 +26,9 @@
 	Draining bool
 	// Started is its start time in Unix milliseconds, by its own clock.
 	Started int64
+	// Writes counts what this run of the replica has written about itself. It tells an
+	// older entry from a newer one.
+	Writes int64
 	// Accelerator is the kind of accelerator of an engine, which is a replica
 	// that runs layers of a model. It is empty for other replicas.
 	Accelerator string
@@ -38,6 +41,14 @@
 // Incarnation identifies this run of the replica: its ID and its start time.
 func (r Replica) Incarnation() string { return fmt.Sprintf("%s/%d", r.ID, r.Started) }
 
+// supersedes reports whether an entry is newer than another one of the same replica.
+func (r Replica) supersedes(old Replica) bool {
+	if r.Started != old.Started {
+		return r.Started > old.Started
+	}
+	return r.Writes > old.Writes
+}
+
 // View is an immutable snapshot of the listed replicas.
 type View struct {
 	// byService holds the replicas that do not drain by service.
@@ -91,13 +102,29 @@
 	storeDown bool
 	// lastRemoved holds, by service, when a replica was last removed.
 	lastRemoved map[string]time.Time
+	// removed holds the entries that were removed within removedMemory, by ID.
+	removed map[string]removedEntry
 
 	view atomic.Pointer[View]
 }
 
+// removedEntry is an entry that was removed from the list at a time.
+type removedEntry struct {
+	Replica
+	at time.Time
+}
+
+const (
+	// removedMemory is how long removed entries are remembered. It exceeds the age of the
+	// copy from which the store may be restored.
+	removedMemory = 2 * time.Minute
+	// maxRemoved bounds the removed entries that are remembered.
+	maxRemoved = 4096
+)
+
 // NewList returns an empty list.
 func NewList(gracePeriod time.Duration) *List {
-	l := &List{gracePeriod: gracePeriod, entries: map[string]Replica{}, graceEnds: map[string]time.Time{}, lastRemoved: map[string]time.Time{}}
+	l := &List{gracePeriod: gracePeriod, entries: map[string]Replica{}, graceEnds: map[string]time.Time{}, lastRemoved: map[string]time.Time{}, removed: map[string]removedEntry{}}
 	l.view.Store(&View{})
 	return l
 }
@@ -128,6 +155,34 @@
 func (l *List) Replace(all []Replica, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.replace(all, now)
+}
+
+// Restore sets the complete list after the store was restored from an older copy. What
+// this host knows better stays: a replica that has drained or left since does not come
+// back, and one that the copy lacks stays listed for the grace period, within which all
+// live replicas write their entries again.
+func (l *List) Restore(all []Replica, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storeDown = true
+	current := make([]Replica, 0, len(all))
+	for _, r := range all {
+		known, listed := l.entries[r.ID]
+		gone, removed := l.removed[r.ID]
+		switch {
+		case listed && !r.supersedes(known):
+			current = append(current, known)
+		case removed && !r.supersedes(gone.Replica):
+		default:
+			current = append(current, r)
+		}
+	}
+	l.replace(current, now)
+}
+
+// replace sets the complete list. The caller holds l.mu.
+func (l *List) replace(all []Replica, now time.Time) {
 	listed := make(map[string]bool, len(all))
 	for _, r := range all {
 		listed[r.ID] = true
@@ -157,11 +212,20 @@
 func (l *List) evict(id string, now time.Time) {
 	if r, known := l.entries[id]; known {
 		l.lastRemoved[r.Service] = now
+		l.remember(r, now)
 	}
 	delete(l.entries, id)
 	delete(l.graceEnds, id)
 }
 
+// remember keeps a removed entry, and drops those that have been kept for long.
+func (l *List) remember(r Replica, now time.Time) {
+	maps.DeleteFunc(l.removed, func(_ string, e removedEntry) bool { return now.Sub(e.at) > removedMemory })
+	if len(l.removed) < maxRemoved {
+		l.removed[r.ID] = removedEntry{Replica: r, at: now}
+	}
+}
+
 // MarkStoreDown records that the store does not respond.
 func (l *List) MarkStoreDown() {
 	l.mu.Lock()
--- a/replica/list_test.go
+++ b/replica/list_test.go
@@ -164,3 +164,51 @@
 		pending.Done(false)
 	}
 }
+
+// A store that was restored from an older copy lists what replicas wrote some time ago.
+func TestRestoredListKeepsWhatIsKnownBetter(t *testing.T) {
+	t.Parallel()
+	entry := func(id string, started, writes int64, draining bool) replica.Replica {
+		r := newReplica(id, id+":1", started)
+		r.Writes = writes
+		r.Draining = draining
+		return r
+	}
+	for _, c := range []struct {
+		name string
+		// known are the entries before the restore, and gone those of them that were removed.
+		known  []replica.Replica
+		gone   string
+		copied []replica.Replica
+		want   []string
+		// afterGrace are the replicas that remain if none writes again.
+		afterGrace []string
+	}{
+		{"drained since", []replica.Replica{entry("i1", 1, 5, true)}, "", []replica.Replica{entry("i1", 1, 3, false)}, nil, nil},
+		{"drained since, without counts", []replica.Replica{entry("i1", 1, 0, true)}, "", []replica.Replica{entry("i1", 1, 0, false)}, nil, nil},
+		{"left since", []replica.Replica{entry("i1", 1, 5, false)}, "i1", []replica.Replica{entry("i1", 1, 5, false)}, nil, nil},
+		{"left and back", []replica.Replica{entry("i1", 1, 5, false)}, "i1", []replica.Replica{entry("i1", 1, 6, false)}, []string{"i1"}, []string{"i1"}},
+		{"left and restarted", []replica.Replica{entry("i1", 1, 5, false)}, "i1", []replica.Replica{entry("i1", 2, 0, false)}, []string{"i1"}, []string{"i1"}},
+		{"registered since", []replica.Replica{entry("i1", 1, 5, false)}, "", nil, []string{"i1"}, nil},
+		{"restarted since", []replica.Replica{entry("i1", 2, 0, false)}, "", []replica.Replica{entry("i1", 1, 9, true)}, []string{"i1"}, []string{"i1"}},
+		{"unchanged", []replica.Replica{entry("i1", 1, 5, false)}, "", []replica.Replica{entry("i1", 1, 5, false)}, []string{"i1"}, []string{"i1"}},
+		{"written again", []replica.Replica{entry("i1", 1, 5, false)}, "", []replica.Replica{entry("i1", 1, 6, true)}, nil, nil},
+		{"unknown", nil, "", []replica.Replica{entry("i1", 1, 5, false)}, []string{"i1"}, []string{"i1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			l := replica.NewList(gracePeriod)
+			l.Replace(c.known, now)
+			if c.gone != "" {
+				l.Remove(c.gone, now)
+			}
+			l.Restore(c.copied, now.Add(time.Second))
+			l.MarkStoreUp(now.Add(time.Second))
+			is.Equal(ids(l), c.want)
+			l.Expire(now.Add(time.Second + gracePeriod))
+			is.Equal(ids(l), c.afterGrace)
+		})
+	}
+}
