hosted, gossip: findings that a restore has lost are written again

Hosts that start after a restore of the store did not know what crashes replicas until another host told them: the findings written since the copy were gone. In each new era the hosts write all findings that still hold once more, each by one host, which keep the time at which they expire.

--- a/daemon/hosted/restore_test.go
+++ b/daemon/hosted/restore_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 )
 
 // manyKeys returns keys that make a configuration too large to be relayed uncompressed.
@@ -126,3 +127,21 @@
 	f.awaitAccepted(t, "k1", f.hosts...)
 	is.Equal(f.store.keys("keyed.findings"), []string{"settled_era"})
 }
+
+// What the hosts themselves have written is lost, too, and must be written again for
+// hosts that start later.
+func TestLostFindingsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleetWithDeadlyPart(t, 2)
+	old := f.store.copy()
+	f.sendDeadly(t, f.hosts[0])
+	findings := func() int {
+		return lo.CountBy(f.store.keys("keyed.findings"), func(key string) bool { return key != "settled_era" })
+	}
+	await(t, "findings in the store", func() bool { return findings() > 0 })
+	time.Sleep(3 * time.Second) // until all are written and the other host has them
+	before := findings()
+	f.store.restore(old)
+	is.New(t).Equal(findings(), 0)
+	await(t, "the same findings in the store", func() bool { return findings() >= before })
+}
--- a/daemon/hosted/stored.go
+++ b/daemon/hosted/stored.go
@@ -52,6 +52,8 @@
 	// recent has the findings since the last run of write, by key, and due those from
 	// before, which the next run writes.
 	recent, due map[string]gossip.Item
+	// written is the era of the store in which all findings that still hold are written.
+	written int64
 	// era is the era of the record under settledEraKey, as this host has read or written it.
 	era int64
 }
@@ -80,10 +82,11 @@
 	due := s.due
 	s.due, s.recent = s.recent, map[string]gossip.Item{}
 	s.mu.Unlock()
+	s.addLost(due)
 	maps.DeleteFunc(due, func(_ string, i gossip.Item) bool { return s.cleared(i) })
-	now := time.Now().UnixMilli()
+	now := time.Now()
 	records := lo.MapToSlice(due, func(key string, i gossip.Item) feed.Change {
-		return feed.Change{Key: key, Value: mustMarshal(storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now})}
+		return feed.Change{Key: key, Value: encodeStored(i, now)}
 	})
 	era := s.eraToWrite()
 	if era > 0 {
@@ -100,6 +103,34 @@
 	s.recordEra(era)
 }
 
+// addLost adds the findings that a restore of the store may have lost. Each is written by
+// one host, so that their number does not grow with that of the hosts.
+func (s *findingStore) addLost(due map[string]gossip.Item) {
+	era := s.host.era.current()
+	s.mu.Lock()
+	lost := s.written > 0 && era > s.written
+	if s.written == 0 {
+		// This host has read the store in this era.
+		s.written = era
+	}
+	s.mu.Unlock()
+	if !lost || s.host.era.restoredWithin(rejoinDelay) {
+		// The hosts that share the work are not known yet.
+		return
+	}
+	names := lo.Map(s.host.group.members(), func(p Peer, _ int) string { return p.Name })
+	for _, i := range s.table.Items(time.Now()) {
+		f, ok := quarantine.ParseItem(i)
+		if ok && f.Kind != quarantine.KindTrial && len(due) < maxUnstored && gossip.Owner(i.Key, names) == s.host.group.memberName {
+			due[i.Key] = i
+		}
+	}
+	s.host.log.Info("gossip: writing findings again after a restore of the store", "era", era, "items", len(due))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = era
+}
+
 // mustMarshal encodes a value of a type that can always be encoded.
 func mustMarshal(v any) []byte {
 	out, err := cbor.Marshal(v)
@@ -191,6 +222,16 @@
 	s.host.era.settle(stored.Era)
 }
 
+// encodeStored returns the value of a finding in the store. One that is written again keeps
+// the time at which it expires.
+func encodeStored(i gossip.Item, now time.Time) []byte {
+	stored := storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now.UnixMilli()}
+	if f, ok := quarantine.ParseItem(i); ok {
+		stored.WrittenAtMS -= f.Item().TTLMS - i.TTLMS
+	}
+	return mustMarshal(stored)
+}
+
 // decodeStored returns the gossip item of a finding in the store; ok is false if it has
 // expired or cannot be decoded.
 func decodeStored(c feed.Change, now time.Time) (i gossip.Item, ok bool) {
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -205,6 +205,17 @@
 	return e.item, true
 }
 
+// Items returns all items, in no particular order.
+func (t *Table) Items(now time.Time) []Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Item, 0, len(t.entries))
+	for _, e := range t.entries {
+		all = append(all, e.withTimeLeft(now))
+	}
+	return all
+}
+
 // Len returns the number of items.
 func (t *Table) Len() int {
 	t.mu.Lock()
