hostlog, rule, lease, claim, publication: positions of a restored log in the native protocol

The same class of fault in the native protocol: after the platform's log had come back from an older copy, an accepted rule file reverted in the log, and publications and lease records at offsets that had been read before were ignored as old.

Each answer names the era of the log, and each entry the era that its writer knew. A position is both in one number, which increases across eras and is the offset in the first one; versions, fencing tokens and the ledger's places are positions. Copied records keep the position that they had; an append under an old era has no effect, and its writer is told so. Publications are held until the holder has written from which file the era begins, which hosts have told each other by then; so all judge them alike, and no active file goes back. Homes append their latest 256 batches of outcomes again, in order. A held publication is reported as such by Publish and History instead of as a conflict.

--- a/claim/journal.go
+++ b/claim/journal.go
@@ -38,8 +38,17 @@
 	// inFlight is the batch that is being appended, or nil.
 	inFlight *Batch
 	seq      int64
+	// appended are the latest batches in the log, and lost those that are to be appended
+	// again, as a restore may have taken them from the log. Both are in order.
+	appended []Batch
+	lost     []Batch
+	// era is the newest era of the log that was observed, or 0.
+	era int64
 }
 
+// maxAppended is the number of batches that can be appended again after a restore.
+const maxAppended = 256
+
 // NewJournal returns an empty journal whose batches hold up to maxOutcomes
 // outcomes, with answers of up to maxAnswerBytes bytes.
 func NewJournal(h Home, maxOutcomes, maxAnswerBytes int) *Journal {
@@ -69,6 +78,10 @@
 func (j *Journal) Next() (b Batch, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.inFlight == nil && len(j.lost) > 0 {
+		j.inFlight = &j.lost[0]
+		j.lost = j.lost[1:]
+	}
 	if j.inFlight == nil && len(j.pending) > 0 {
 		n := min(len(j.pending), j.maxOutcomes)
 		j.startBatch(n, false)
@@ -94,7 +107,7 @@
 	if j.inFlight != nil && j.inFlight.Settled {
 		return *j.inFlight, true
 	}
-	if j.inFlight != nil || len(j.pending) > 0 {
+	if j.inFlight != nil || len(j.lost) > 0 || len(j.pending) > 0 {
 		return Batch{}, false
 	}
 	j.startBatch(0, true)
@@ -105,9 +118,31 @@
 func (j *Journal) MarkAppended(seq int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.inFlight != nil && j.inFlight.Seq == seq {
-		j.inFlight = nil
+	if j.inFlight == nil || j.inFlight.Seq != seq {
+		return
+	}
+	j.appended = append(j.appended, *j.inFlight)
+	if len(j.appended) > maxAppended {
+		j.appended = j.appended[1:]
+	}
+	j.inFlight = nil
+}
+
+// ObserveEra records the era of the log. In a new one, the latest batches are appended
+// again: the log was restored from a copy that may lack them.
+func (j *Journal) ObserveEra(era int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.era > 0 && era > j.era {
+		j.lost = append(j.appended, j.lost...)
+		j.appended = nil
+		if j.inFlight != nil {
+			// Its append may be part of what was lost, and follows the others in order.
+			j.lost = append(j.lost, *j.inFlight)
+			j.inFlight = nil
+		}
 	}
+	j.era = max(j.era, era)
 }
 
 // Pending returns the number of outcomes that are not in the log yet.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -244,5 +244,6 @@
 		loop.Every(ctx, shareInterval, d.shareLimits),
 		loop.Every(ctx, controlInterval, d.control),
 		loop.Every(ctx, d.cfg.Times.CheckpointEvery.D(), d.appendCheckpoint),
+		loop.Every(ctx, eraBaseInterval, d.appendEraBase),
 	}
 }
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -53,6 +53,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
+			d.journal.ObserveEra(d.platform.Era())
 			if b, ok := d.journal.Next(); ok {
 				d.appendBatch(b)
 			}
@@ -87,6 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, finalBatchTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
+		d.journal.ObserveEra(d.platform.Era())
 		b, ok := d.journal.Settle()
 		if !ok {
 			b, ok = d.journal.Next()
@@ -134,12 +136,12 @@
 	if kind != outcome.Answered {
 		return unknown
 	}
-	page, err := l.d.platform.Read(offset, 1, 0)
-	if err != nil || len(page.Records) != 1 || page.Records[0].Offset != offset {
+	r, ok, err := l.d.platform.ReadAt(offset)
+	if err != nil || !ok {
 		return unknown
 	}
 	var b claim.Batch
-	if err := json.Unmarshal(page.Records[0].Body, &b); err != nil {
+	if err := json.Unmarshal(r.Body, &b); err != nil {
 		return unknown
 	}
 	for _, o := range b.Outcomes {
--- a/daemon/lease.go
+++ b/daemon/lease.go
@@ -14,6 +14,9 @@
 // leasePollInterval is the time between two checks of the lease.
 const leasePollInterval = 100 * time.Millisecond
 
+// eraBaseInterval is the time between two checks whether the log's era has a base.
+const eraBaseInterval = 500 * time.Millisecond
+
 // leaseHolderName returns the name of this host's current incarnation in lease
 // records.
 func (d *Daemon) leaseHolderName() string {
@@ -58,10 +61,21 @@
 	if _, ok := d.follower.Holds(time.Now()); !ok {
 		return
 	}
-	s, ok := d.follower.Snapshot()
-	if !ok || s.Rules.Version == 0 {
-		return
+	if s, ok := d.follower.Snapshot(); ok && s.Rules.Version > 0 {
+		d.appendSnapshot(s)
 	}
+}
+
+// appendEraBase appends the state from which a new era of the log begins, if this host
+// holds the lease and the log has none.
+func (d *Daemon) appendEraBase(context.Context) {
+	if s, ok := d.follower.EraBase(time.Now()); ok {
+		d.log.Warn("daemon: appending the state from which the log's new era begins", "version", s.Rules.Version, "era", s.Rules.Era)
+		d.appendSnapshot(s)
+	}
+}
+
+func (d *Daemon) appendSnapshot(s publication.Snapshot) {
 	body, err := json.Marshal(s)
 	if err != nil {
 		panic(err)
--- a/hostlog/record.go
+++ b/hostlog/record.go
@@ -22,16 +22,21 @@
 	ID   string          `json:"id"`
 	Type RecordType      `json:"type"`
 	Body json.RawMessage `json:"body"`
+	// Era is the era of the log that the writer knew, or 0 for the first one. A record
+	// that a restored log has from its copy is so told from one that is newer.
+	Era int64 `json:"era,omitempty"`
 }
 
-// Record is an entry with its offset in the log. Offsets start at 1.
+// Record is an entry with its position in the log: its offset, which starts at 1, in the
+// era in which it was written (see [Position]).
 type Record struct {
 	Offset int64 `json:"offset"`
 	Entry
 }
 
-// Page is a range of consecutive records. First is the oldest offset that the
-// log retains, and Next the offset after the last record of the page.
+// Page is a range of consecutive records. First is the oldest position that the
+// log retains, and Next the position after the last record of the page, both in the
+// current era.
 type Page struct {
 	First   int64    `json:"first"`
 	Next    int64    `json:"next"`
--- a/hostlog/sequencer.go
+++ b/hostlog/sequencer.go
@@ -13,6 +13,8 @@
 	// firstAfterGap is the first offset that the log retains after a gap, or 0
 	// if there is no gap.
 	firstAfterGap int64
+	// missing is set if records before firstAfterGap were deleted unread.
+	missing bool
 	// buffered holds the records read since the gap, in offset order.
 	buffered []bufferedRecord[T]
 }
@@ -43,9 +45,17 @@
 		return
 	}
 	s.firstAfterGap = first
+	s.missing = true
 	s.buffered = nil
 }
 
+// Hold buffers the records from first on until a snapshot accounts for all before it,
+// though none may be missing.
+func (s *Sequencer[T]) Hold(first int64) { s.firstAfterGap = max(s.firstAfterGap, first) }
+
+// Missing reports whether records were deleted before they were read.
+func (s *Sequencer[T]) Missing() bool { return s.missing }
+
 // Accept receives the next record and reports whether it must be applied now.
 func (s *Sequencer[T]) Accept(offset int64, record T) bool {
 	if !s.Complete() {
@@ -84,6 +94,7 @@
 func (s *Sequencer[T]) close(apply func(offset int64, record T)) {
 	buffered := s.buffered
 	s.firstAfterGap = 0
+	s.missing = false
 	s.buffered = nil
 	for _, b := range buffered {
 		if s.Accept(b.offset, b.record) {
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -183,28 +183,35 @@
 // unless that is nil. It returns an *Error of KindStatus for a status of 400 or
 // more.
 func (c *Client) Call(r Request, in, out any) error {
+	_, err := c.CallHeader(r, in, out)
+	return err
+}
+
+// CallHeader is Call that also returns a function that returns the first value of a header
+// of the response.
+func (c *Client) CallHeader(r Request, in, out any) (header func(name string) string, err error) {
 	if in != nil {
 		body, err := json.Marshal(in)
 		if err != nil {
-			return &Error{Op: r.op(), Kind: KindNotSent, Cause: err}
+			return nil, &Error{Op: r.op(), Kind: KindNotSent, Cause: err}
 		}
 		r.Body = body
 		r.Headers = jsonHeaders(r.Headers)
 	}
 	resp, err := c.Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.Status >= fasthttp.StatusBadRequest {
-		return &Error{Op: r.op(), Kind: KindStatus, Status: resp.Status, Body: resp.Body}
+		return nil, &Error{Op: r.op(), Kind: KindStatus, Status: resp.Status, Body: resp.Body}
 	}
 	if out == nil {
-		return nil
+		return resp.Header, nil
 	}
 	if err := json.Unmarshal(resp.Body, out); err != nil {
-		return &Error{Op: r.op(), Kind: KindFormat, Cause: err}
+		return nil, &Error{Op: r.op(), Kind: KindFormat, Cause: err}
 	}
-	return nil
+	return resp.Header, nil
 }
 
 func jsonHeaders(headers map[string]string) map[string]string {
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"bulrushshed/hostlog"
@@ -42,6 +44,8 @@
 	base    string
 	timeout time.Duration
 	http    *jsonhttp.Client
+	// era is the era of the log as of the last answer, or 0.
+	era atomic.Int64
 }
 
 // NewClient returns a client for a base URL such as http://127.0.0.1:9000.
@@ -54,20 +58,82 @@
 	Offset int64 `json:"offset"`
 }
 
-// Append adds an entry to the log and returns its offset.
+// Append adds an entry to the log and returns its position. The entry names the era that
+// the client knows; if the log has been restored since, the entry has no effect, and the
+// error is an *Error of KindUnavailable.
 func (c *Client) Append(e hostlog.Entry) (int64, error) {
+	if c.era.Load() == 0 {
+		if _, err := c.Read(1, 1, 0); err != nil {
+			return 0, &Error{Op: "append", Kind: KindUnavailable, Cause: err}
+		}
+	}
+	e.Era = c.era.Load()
 	var out appendResponse
-	err := c.call("append", http.MethodPost, "/v1/log", e, &out)
-	return out.Offset, err
+	era, err := c.callLog("append", http.MethodPost, "/v1/log", e, &out)
+	if err != nil {
+		return 0, err
+	}
+	if era != e.Era {
+		return 0, &Error{Op: "append", Kind: KindUnavailable, Cause: fmt.Errorf("log was restored, got era %d, want %d", era, e.Era)}
+	}
+	return hostlog.Position(era, out.Offset), nil
 }
 
-// Read returns up to limit records, starting at an offset. If there are none yet,
-// the platform waits up to wait for the first.
+// Read returns up to limit records, starting at a position. If there are none yet,
+// the platform waits up to wait for the first. If the position is of an era that has
+// ended, it returns the records from the oldest one on.
 func (c *Client) Read(from int64, limit int, wait time.Duration) (hostlog.Page, error) {
-	var out hostlog.Page
+	page, era, err := c.read(hostlog.OffsetOf(from), limit, wait)
+	if err != nil || era == hostlog.EraOf(from) {
+		return page, err
+	}
+	page, _, err = c.read(1, limit, 0)
+	return page, err
+}
+
+// ReadAt returns the record at a position. ok is false if the log no longer has it.
+func (c *Client) ReadAt(position int64) (r hostlog.Record, ok bool, err error) {
+	page, _, err := c.read(hostlog.OffsetOf(position), 1, 0)
+	if err != nil || len(page.Records) != 1 || page.Records[0].Offset != position {
+		return hostlog.Record{}, false, err
+	}
+	return page.Records[0], true, nil
+}
+
+// Era returns the era of the log as of the last answer, or 0.
+func (c *Client) Era() int64 { return c.era.Load() }
+
+// read returns the records from an offset of the current era on, and that era.
+func (c *Client) read(from int64, limit int, wait time.Duration) (page hostlog.Page, era int64, err error) {
 	path := fmt.Sprintf("/v1/log?from=%d&limit=%d&wait_ms=%d", from, limit, wait.Milliseconds())
-	err := c.call("read", http.MethodGet, path, nil, &out)
-	return out, err
+	era, err = c.callLog("read", http.MethodGet, path, nil, &page)
+	if err != nil {
+		return hostlog.Page{}, 0, err
+	}
+	page.First = hostlog.Position(era, page.First)
+	page.Next = hostlog.Position(era, page.Next)
+	for i, r := range page.Records {
+		page.Records[i].Offset = hostlog.Position(r.Era, r.Offset)
+	}
+	return page, era, nil
+}
+
+// headerEra names the header field in which each answer has the era of the log. A platform
+// that never restores it may omit the field.
+const headerEra = "Store-Era"
+
+// callLog sends a request to the log and returns the era of the answer.
+func (c *Client) callLog(op, method, path string, in, out any) (era int64, err error) {
+	header, err := c.http.CallHeader(jsonhttp.Request{Method: method, URL: c.base + path, Timeout: c.timeout}, in, out)
+	if err != nil {
+		return 0, &Error{Op: op, Kind: errorKind(err), Cause: err}
+	}
+	era, err = strconv.ParseInt(header(headerEra), 10, 64)
+	if err != nil {
+		era = hostlog.EraOf(0)
+	}
+	c.era.Store(era)
+	return era, nil
 }
 
 // hostsResponse is the response to GET /v1/hosts.
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -75,19 +75,30 @@
 		if err != nil {
 			return nil, nil, &Error{Op: "read", Kind: KindUnavailable, Cause: err}
 		}
-		if page.First > next {
-			rules.MarkGap(page.First)
+		if hostlog.OffsetOf(page.First) > firstOffset(next, page) {
+			rules.MarkGap(firstRead(page))
 		}
 		for _, r := range page.Records {
 			entries = appendHistory(rules, entries, r)
 		}
 		if len(page.Records) == 0 {
+			resolveHeld(rules, entries)
 			return rules, entries, nil
 		}
 		next = page.Next
 	}
 }
 
+// resolveHeld sets the verdicts of the publications that were held and have been judged
+// since.
+func resolveHeld(rules *rule.StateMachine, entries []HistoryEntry) {
+	for i, e := range entries {
+		if e.Verdict == rule.VerdictHeld {
+			entries[i].Verdict = rules.Judged(e.Offset)
+		}
+	}
+}
+
 // appendHistory applies a record to rules, and appends it to entries if it is a
 // publication.
 func appendHistory(rules *rule.StateMachine, entries []HistoryEntry, r hostlog.Record) []HistoryEntry {
@@ -119,6 +130,9 @@
 	return hex.EncodeToString(id)
 }
 
+// errHeld means that a publication is not judged yet, as earlier records are missing.
+var errHeld = errors.New("publication is held until earlier records are known")
+
 // errNotInLog means that a record is not in the log.
 var errNotInLog = errors.New("record not in the log")
 
@@ -162,8 +176,12 @@
 		if e.ID != id {
 			continue
 		}
-		if e.Verdict == rule.VerdictAccepted {
+		switch e.Verdict {
+		case rule.VerdictAccepted:
 			return rule.Version(e.Offset), nil
+		case rule.VerdictHeld:
+			return 0, &Error{Op: "look up", Kind: KindUnknown, Cause: errHeld}
+		case rule.VerdictConflict, rule.VerdictFaulty, rule.VerdictStale:
 		}
 		cur := rules.Current()
 		cause := fmt.Errorf("publication is based on version %d, but version %d by %s is active", e.Base, cur.Version, cur.Author)
--- a/rule/state_machine.go
+++ b/rule/state_machine.go
@@ -2,7 +2,7 @@
 
 import "bulrushshed/hostlog"
 
-// Version is the log offset of an accepted publication. Offsets start at 1; 0
+// Version is the position in the log of an accepted publication. Positions start at 1; 0
 // means that no file is active.
 type Version int64
 
@@ -26,7 +26,10 @@
 // were applied. It lets a host start from a log whose older records were
 // deleted.
 type Checkpoint struct {
-	ReadTo  int64   `json:"read_to"`
+	ReadTo int64 `json:"read_to"`
+	// Era is the era of the log for which the checkpoint is the base, or 0 for the first
+	// one.
+	Era     int64   `json:"era,omitempty"`
 	Version Version `json:"version"`
 	ID      string  `json:"id"`
 	Author  string  `json:"author"`
@@ -61,23 +64,42 @@
 }
 
 // StateMachine determines the active file by applying the publications of the
-// log in order. It is not safe for concurrent use.
+// log in order. After the log was restored from an older copy, hosts may know accepted
+// publications that the log has lost. So that all judge later ones alike, those of a new
+// era are buffered until a checkpoint in the log, or a peer, says from which file the era
+// begins. A StateMachine is not safe for concurrent use.
 type StateMachine struct {
 	// current is the active file. Its version never decreases.
 	current ActiveFile
 	// sequencer buffers publications while earlier records are missing, since
 	// one of those may have changed the version.
 	sequencer hostlog.Sequencer[Publication]
+	// era is the newest era of which the base is known.
+	era int64
+	// judged holds the verdicts of publications that were buffered, by position.
+	judged map[int64]Verdict
 }
 
 // NewStateMachine returns a state machine without an active file.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{current: ActiveFile{File: &File{}}}
+	return &StateMachine{current: ActiveFile{File: &File{}}, era: hostlog.EraOf(0), judged: map[int64]Verdict{}}
 }
 
 // Current returns the active file.
 func (m *StateMachine) Current() ActiveFile { return m.current }
 
+// BaseEra returns the newest era of which this host knows the base. ok is false if it
+// lacks records, so that it cannot tell the base of a later one.
+func (m *StateMachine) BaseEra() (era int64, ok bool) { return m.era, !m.sequencer.Missing() }
+
+// Judged returns the verdict on a publication that was held, or VerdictHeld.
+func (m *StateMachine) Judged(position int64) Verdict {
+	if v, ok := m.judged[position]; ok {
+		return v
+	}
+	return VerdictHeld
+}
+
 // Complete reports whether no records are missing before the next one.
 func (m *StateMachine) Complete() bool { return m.sequencer.Complete() }
 
@@ -95,6 +117,9 @@
 	if p.Reset && Version(offset) > m.current.Version {
 		return m.reset(offset, p)
 	}
+	if era := hostlog.EraOf(offset); era > m.era {
+		m.sequencer.Hold(hostlog.Position(era, 0))
+	}
 	if !m.sequencer.Complete() {
 		m.sequencer.Accept(offset, p)
 		return VerdictHeld
@@ -116,6 +141,7 @@
 func (m *StateMachine) reset(offset int64, p Publication) Verdict {
 	verdict := m.activate(Version(offset), p.ID, p.Author, p.Text)
 	if verdict == VerdictAccepted {
+		m.era = max(m.era, hostlog.EraOf(offset))
 		m.sequencer.Reset(offset, m.applyBuffered)
 	}
 	return verdict
@@ -129,16 +155,20 @@
 	if c.Version > m.current.Version {
 		verdict = m.activate(c.Version, c.ID, c.Author, c.Text)
 	}
-	if verdict == VerdictFaulty || c.Version < m.current.Version {
+	beginsEra := c.Era > m.era
+	if verdict == VerdictFaulty || c.Version < m.current.Version && !beginsEra {
 		return verdict
 	}
+	m.era = max(m.era, c.Era)
 	m.sequencer.Restore(c.ReadTo, m.applyBuffered)
 	return verdict
 }
 
 // applyBuffered applies a buffered publication once no earlier records are
 // missing.
-func (m *StateMachine) applyBuffered(offset int64, p Publication) { m.applyIfCurrent(offset, p) }
+func (m *StateMachine) applyBuffered(offset int64, p Publication) {
+	m.judged[offset] = m.applyIfCurrent(offset, p)
+}
 
 func (m *StateMachine) activate(v Version, id, author, text string) Verdict {
 	file, err := Parse(text)
@@ -153,6 +183,6 @@
 // while no file is active or records are missing.
 func (m *StateMachine) Checkpoint() (c Checkpoint, ok bool) {
 	cur := m.current
-	c = Checkpoint{ReadTo: m.ReadTo(), Version: cur.Version, ID: cur.ID, Author: cur.Author, Text: cur.Text}
+	c = Checkpoint{ReadTo: m.ReadTo(), Era: m.era, Version: cur.Version, ID: cur.ID, Author: cur.Author, Text: cur.Text}
 	return c, m.Complete() && cur.Version > 0
 }
--- a/rule/state_machine_test.go
+++ b/rule/state_machine_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"bulrushshed/hostlog"
 	"bulrushshed/rule"
 )
 
@@ -84,3 +85,36 @@
 		}
 	})
 }
+
+// Publications of a new era are judged from the era's base on all hosts, whatever they
+// know of those that a restored log has lost.
+func TestPublicationsOfNewEraWaitForItsBase(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	text := func(n int) string { return fmt.Sprintf("limit customer=c%d rate=1 burst=1 # test: why\n", n) }
+	kept := rule.Publication{ID: "kept", Text: text(1)}
+	lost := rule.Publication{ID: "lost", Base: 1, Text: text(2)}
+	complete, behind := rule.NewStateMachine(), rule.NewStateMachine()
+	is.Equal(complete.ApplyPublication(1, kept), rule.VerdictAccepted)
+	is.Equal(complete.ApplyPublication(2, lost), rule.VerdictAccepted)
+	is.Equal(behind.ApplyPublication(1, kept), rule.VerdictAccepted)
+	next := rule.Publication{ID: "next", Base: 2, Text: text(3)}
+	at := hostlog.Position(2, 2)
+	machines := []*rule.StateMachine{complete, behind}
+	for _, m := range machines {
+		m.AdvanceTo(hostlog.Position(2, 1))
+		is.Equal(m.ApplyPublication(at, next), rule.VerdictHeld)
+		is.Equal(m.Judged(at), rule.VerdictHeld)
+	}
+	base, _ := complete.Checkpoint()
+	base.Era = 2
+	for _, m := range machines {
+		m.Restore(base)
+		is.Equal(m.Judged(at), rule.VerdictAccepted)
+		is.Equal(m.Current().Version, rule.Version(at))
+		era, ok := m.BaseEra()
+		is.True(ok)
+		is.Equal(era, int64(2))
+		is.Equal(m.ApplyPublication(hostlog.Position(1, 3), kept), rule.VerdictStale) // a late append of the old era
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -37,7 +37,9 @@
 	faults  faultInjector
 	weights weightStore
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// era counts the histories of the log: each restore begins a new one.
+	era         int64
 	firstOffset int64
 	records     []storedRecord
 	// appended is closed and replaced when a record is appended.
@@ -70,7 +72,7 @@
 // NewPlatform returns a platform with an empty log and host list.
 func NewPlatform(o PlatformOptions) *Platform {
 	return &Platform{
-		opts: o, weights: weightStore{layerTime: o.LayerTime}, firstOffset: 1, appended: make(chan struct{}),
+		opts: o, weights: weightStore{layerTime: o.LayerTime}, era: 1, firstOffset: 1, appended: make(chan struct{}),
 		appendTokens: float64(o.AppendRate), hosts: map[string]hostEntry{},
 	}
 }
@@ -79,6 +81,8 @@
 func (p *Platform) App() *fiber.App {
 	app := newApp()
 	p.faults.register(app)
+	app.Use(p.setEra)
+	app.Post("/restore", p.serveRestore)
 	app.Post("/v1/log", p.serveAppend)
 	app.Get("/v1/log", p.serveRead)
 	app.Post("/v1/hosts", p.serveAnnounce)
@@ -87,6 +91,35 @@
 	return app
 }
 
+// setEra adds the era of the log to a response, as of its end.
+func (p *Platform) setEra(c fiber.Ctx) error {
+	err := c.Next()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.Set("Store-Era", strconv.FormatInt(p.era, 10))
+	return err
+}
+
+// serveRestore restores the log from a copy that is age_ms old.
+func (p *Platform) serveRestore(c fiber.Ctx) error {
+	age, err := strconv.Atoi(c.Query("age_ms"))
+	if err != nil {
+		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
+	}
+	p.Restore(time.Duration(age)*time.Millisecond, time.Now())
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+// Restore takes the log back to what it held at an earlier time, and begins a new era.
+func (p *Platform) Restore(age time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.records = slices.DeleteFunc(p.records, func(r storedRecord) bool { return now.Sub(r.at) < age })
+	close(p.appended)
+	p.appended = make(chan struct{})
+}
+
 func (p *Platform) serveAppend(c fiber.Ctx) error {
 	var e hostlog.Entry
 	if err := c.Bind().JSON(&e); err != nil {
