--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/do/v2"
 
 	"bulrushshed/daemon/hosted"
 	"bulrushshed/settings"
@@ -36,6 +37,7 @@
 type entryHost struct {
 	cfg   settings.Host
 	proxy *storeProxy
+	links *links
 	stop  context.CancelFunc
 	done  chan error
 }
@@ -118,8 +120,10 @@
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &entryHost{cfg: cfg, proxy: proxy, stop: cancel, done: make(chan error, 1)}
-	go func() { h.done <- hosted.Run(ctx, hosted.Wire(cfg)) }()
+	h := &entryHost{cfg: cfg, proxy: proxy, links: &links{}, stop: cancel, done: make(chan error, 1)}
+	injector := hosted.Wire(cfg)
+	do.OverrideValue(injector, hosted.DirectDial(h.links.dial))
+	go func() { h.done <- hosted.Run(ctx, injector) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-h.done; err != nil {
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -20,13 +20,18 @@
 	"bulrushshed/quarantine"
 	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
+	"bulrushshed/replicahttp"
 	"bulrushshed/settings"
 )
 
+// DirectDial opens the connections of a host to replicas.
+type DirectDial replicahttp.Dial
+
 // Wire returns an injector that provides a [Host] with the given settings.
 func Wire(cfg settings.Host) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, cfg)
+	do.ProvideValue(i, DirectDial(replicahttp.DialDirect))
 	do.Provide(i, newHost)
 	return i
 }
@@ -61,7 +66,7 @@
 	})
 	h.limits = ratelimit.NewLimits(h.publishLimit, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
-	h.replicaClient = platform.ReplicaClient{Limits: h.limits}
+	h.replicaClient = platform.ReplicaClient{Limits: h.limits, Dial: replicahttp.Dial(do.MustInvoke[DirectDial](i))}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -53,12 +53,15 @@
 	maxInterimResponses = 4
 )
 
-// Exchange sends a request header and body to an address and returns the response.
-// Closing the response body or cancelling ctx closes the connection.
-func Exchange(ctx context.Context, address string, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
+// Dial opens a connection to an address. No byte may have been sent if it fails.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Exchange sends a request header and body on a new connection to an address and returns
+// the response. Closing the response body or cancelling ctx closes the connection.
+func Exchange(ctx context.Context, dial Dial, address string, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
 	conn, err := dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, &Error{Op: "dial", Kind: KindNotSent, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, err := roundTrip(conn, head, body)
@@ -72,21 +75,18 @@
 }
 
 // Reach opens a connection to an address and closes it without sending anything.
-func Reach(ctx context.Context, address string) error {
+func Reach(ctx context.Context, dial Dial, address string) error {
 	conn, err := dial(ctx, address)
 	if err != nil {
-		return err
+		return &Error{Op: "dial", Kind: KindNotSent, Cause: err}
 	}
 	return conn.Close()
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// DialDirect opens a TCP connection.
+func DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, &Error{Op: "dial", Kind: KindNotSent, Cause: err}
-	}
-	return conn, nil
+	return d.DialContext(ctx, "tcp", address)
 }
 
 func roundTrip(conn net.Conn, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
--- a/replicahttp/exchange_test.go
+++ b/replicahttp/exchange_test.go
@@ -84,7 +84,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			resp, err := replicahttp.Exchange(t.Context(), startReplica(t, respondWith(c.response)), newHeader("GET", "/x", nil), nil)
+			resp, err := replicahttp.Exchange(t.Context(), replicahttp.DialDirect, startReplica(t, respondWith(c.response)), newHeader("GET", "/x", nil), nil)
 			if c.noResponse {
 				var e *replicahttp.Error
 				is.True(errors.As(err, &e))
@@ -116,7 +116,7 @@
 			got, _ = io.ReadAll(req.Body)
 			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
 		})
-		resp, err := replicahttp.Exchange(t.Context(), address, newHeader("POST", "/a/../b//c%2F?q=%41", want), want)
+		resp, err := replicahttp.Exchange(t.Context(), replicahttp.DialDirect, address, newHeader("POST", "/a/../b//c%2F?q=%41", want), want)
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, 204)
 		is.Equal(target, "/a/../b//c%2F?q=%41")
@@ -135,7 +135,7 @@
 		<-release
 	})
 	body := bytes.Repeat([]byte("x"), 8<<20)
-	resp, err := replicahttp.Exchange(t.Context(), address, newHeader("POST", "/x", body), body)
+	resp, err := replicahttp.Exchange(t.Context(), replicahttp.DialDirect, address, newHeader("POST", "/x", body), body)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 413)
 	is.NoErr(resp.Body.Close())
@@ -148,7 +148,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(ln.Close())
-	resp, err := replicahttp.Exchange(t.Context(), ln.Addr().String(), newHeader("GET", "/x", nil), nil)
+	resp, err := replicahttp.Exchange(t.Context(), replicahttp.DialDirect, ln.Addr().String(), newHeader("GET", "/x", nil), nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
@@ -175,7 +175,7 @@
 		<-read
 		cancel()
 	}()
-	resp, err := replicahttp.Exchange(ctx, address, newHeader("GET", "/x", nil), nil)
+	resp, err := replicahttp.Exchange(ctx, replicahttp.DialDirect, address, newHeader("GET", "/x", nil), nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
@@ -212,7 +212,7 @@
 				}
 				sent <- n
 			})
-			resp, err := replicahttp.Exchange(t.Context(), address, newHeader("GET", "/x", nil), nil)
+			resp, err := replicahttp.Exchange(t.Context(), replicahttp.DialDirect, address, newHeader("GET", "/x", nil), nil)
 			if err == nil {
 				_ = resp.Body.Close()
 			}
