relay, peer, hosted, forward: hosts reach replicas through one another

A connection to a replica that is not established directly within 30 ms, or fails, is also asked for at another host, which connects and copies bytes; the first one is used, and nothing was sent on the other. Where only the relayed one succeeds the link is down: connections are relayed at once, and a direct one is tried once a second. All decisions stay with the host that has the caller, so attempts, the budget and limits are counted once, and checks, reports and orders go the same way. A stream that falls silent as its link goes down is resumed at once.

TestHostCutFromReplicasServesThroughOthers served nothing for 30 s before, and TestRunningStreamOutlivesCut broke off; both pass.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 # The packages with state shared between goroutines, tested with the race detector.
 shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
-	./ingress ./ingresshttp ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./replica
+	./ingress ./ingresshttp ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica
 
 .PHONY: build demo up test race lint prove bench fuzz hosted
 
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -34,9 +34,9 @@
 // requested offset.
 var errUnusableResponse = errors.New("got no feed response, or one from another incarnation of the host or not usable for the requested offset")
 
-// relay passes on to followers what this host has read from the store. On a
+// feedRelay passes on to followers what this host has read from the store. On a
 // follower, it polls the source for what the source has read.
-type relay struct {
+type feedRelay struct {
 	host *Host
 	log  *feed.Log
 	node *peer.Node
@@ -45,18 +45,19 @@
 	lastResponse atomic.Int64
 }
 
-// newRelay opens the socket for connections between hosts.
-func newRelay(h *Host, identity peerIdentity) (*relay, error) {
-	r := &relay{host: h, log: feed.NewLog(h.group.memberName, h.freshness.Now)}
+// newFeedRelay opens the socket for connections between hosts.
+func newFeedRelay(h *Host, identity peerIdentity) (*feedRelay, error) {
+	r := &feedRelay{host: h, log: feed.NewLog(h.group.memberName, h.freshness.Now)}
 	node, err := peer.NewNode(peer.Options{
 		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, IdleTimeout: peerIdleTimeout,
+		Relay: h.connector,
 	}, identity.tls, r, h.log)
 	r.node = node
 	return r, err
 }
 
 // Handle implements peer.Handler.
-func (r *relay) Handle(ctx context.Context, m peer.Message) peer.Reply {
+func (r *feedRelay) Handle(ctx context.Context, m peer.Message) peer.Reply {
 	switch {
 	case m.Kind == peer.KindExchange && m.Exchange != nil:
 		return peer.Reply{Exchange: r.host.findings.exchanger().Answer(ctx, *m.Exchange, "")}
@@ -77,7 +78,7 @@
 }
 
 // poll requests from another host the changes of a topic that it has read.
-func (r *relay) poll(ctx context.Context, from Peer, req feed.Request) (feed.Response, error) {
+func (r *feedRelay) poll(ctx context.Context, from Peer, req feed.Request) (feed.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedPollTimeout+feedResponseMargin)
 	defer cancel()
 	reply, err := r.node.Call(ctx, from.PeerAddress, peer.Message{Kind: peer.KindFeed, Feed: &req})
@@ -93,7 +94,7 @@
 
 // hasRecentResponse reports whether the source has recently sent a usable
 // response.
-func (r *relay) hasRecentResponse() bool {
+func (r *feedRelay) hasRecentResponse() bool {
 	at := r.lastResponse.Load()
 	return at > 0 && r.host.freshness.Now()-time.Duration(at) < feedPollTimeout+feedResponseMargin
 }
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -21,6 +21,7 @@
 	"bulrushshed/platform"
 	"bulrushshed/quarantine"
 	"bulrushshed/ratelimit"
+	"bulrushshed/relay"
 	"bulrushshed/replica"
 	"bulrushshed/settings"
 )
@@ -79,7 +80,9 @@
 	limits        *ratelimit.Limits
 	limiter       *ratelimit.Limiter
 	group         *group
-	feed          *relay
+	feed          *feedRelay
+	dialer        *relay.Dialer
+	connector     *relay.Connector
 	meter         *meter.Meter
 	callerServer  *ingresshttp.Server
 	controller    *controller
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -19,6 +19,7 @@
 	"bulrushshed/platform"
 	"bulrushshed/quarantine"
 	"bulrushshed/ratelimit"
+	"bulrushshed/relay"
 	"bulrushshed/replica"
 	"bulrushshed/replicahttp"
 	"bulrushshed/settings"
@@ -55,7 +56,12 @@
 		return nil, err
 	}
 	h.group = newGroup(h, identity.pin)
-	if h.feed, err = newRelay(h, identity); err != nil {
+	h.dialer = newDialer(h, do.MustInvoke[DirectDial](i))
+	h.connector = relay.NewConnector(h.dialer, func(address string) bool {
+		_, listed := h.replicas.View().ByAddress(address)
+		return listed
+	})
+	if h.feed, err = newFeedRelay(h, identity); err != nil {
 		return nil, err
 	}
 	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.group.localSize})
@@ -66,12 +72,13 @@
 	})
 	h.limits = ratelimit.NewLimits(h.publishLimit, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
-	h.replicaClient = platform.ReplicaClient{Limits: h.limits, Dial: replicahttp.Dial(do.MustInvoke[DirectDial](i))}
+	h.replicaClient = platform.ReplicaClient{Limits: h.limits, Dial: h.dialer.Dial}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Limiter:    h.limiter,
+		Links:      h.dialer,
 		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
 		Budget: forward.NewBudget(forward.BudgetOptions{
 			Ratio: cfg.RetryRatio * retryBudgetFraction, Extra: cfg.RetryExtra * retryBudgetFraction, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
@@ -136,5 +143,7 @@
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
+	h.meter.Gauge("bulrushshed_links_down", func() float64 { return float64(h.dialer.CountDown()) })
+	h.meter.Gauge("bulrushshed_relayed_connections", func() float64 { return float64(h.connector.Relayed()) })
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.logWriter.dropped.Load()) })
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -17,9 +17,11 @@
 // then closes updates.
 type attempt struct {
 	// first is the engine at which path starts. It receives the request.
-	first    replica.Replica
-	path     route.Route
-	progress *pipeline.StreamProgress
+	first replica.Replica
+	path  route.Route
+	// startedAt is when the attempt began.
+	startedAt time.Time
+	progress  *pipeline.StreamProgress
 	// updates receives the head of the answer, followed by its events.
 	updates chan update
 	cancel  context.CancelFunc
@@ -59,7 +61,7 @@
 func (s *stream) launch(st start) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
-		first: st.first, path: st.path, progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
+		first: st.first, path: st.path, startedAt: time.Now(), progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
 		updates: make(chan update, 4), cancel: cancel, release: st.release,
 	}
 	s.attempt = a
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -74,10 +74,12 @@
 	// not get them soon. Requests wait for it shortly.
 	FindingsKnown <-chan struct{}
 	Upstream      Upstream
-	Limiter       Limiter
-	Budget        *Budget
-	Counter       Counter
-	Log           *slog.Logger
+	// Links tells which replicas are reached only through other hosts; nil for none.
+	Links   Links
+	Limiter Limiter
+	Budget  *Budget
+	Counter Counter
+	Log     *slog.Logger
 }
 
 // Forwarder serves requests of callers. It is safe for concurrent use.
--- a/forward/request.go
+++ b/forward/request.go
@@ -114,6 +114,13 @@
 	Repath(ctx context.Context, r replica.Replica, requestID string, path route.Route) error
 }
 
+// Links knows the links of this host to replicas.
+type Links interface {
+	// DownSince returns since when a replica is reached only through other hosts; ok is
+	// false if it is reached directly.
+	DownSince(address string) (since time.Time, ok bool)
+}
+
 // ErrNotSent is wrapped by an error if no byte of a request was sent.
 var ErrNotSent = errors.New("request was not sent")
 
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -59,6 +59,9 @@
 	if stalledFor > maxStall {
 		return s.tryAbandon("silent")
 	}
+	if s.lostLink() {
+		return s.tryAbandon("link_down")
+	}
 	candidates := s.attempt.progress.StallCandidates()
 	if len(candidates) == 0 && stalledFor < checkAllAfter {
 		return ""
@@ -81,6 +84,16 @@
 	return ""
 }
 
+// lostLink reports whether the link to the first engine has gone down since the attempt
+// began. Its connection is lost then, while a new one is relayed.
+func (s *stream) lostLink() bool {
+	if s.f.Links == nil {
+		return false
+	}
+	since, down := s.f.Links.DownSince(s.attempt.first.Address)
+	return down && since.After(s.attempt.startedAt)
+}
+
 // rerouteOffSlow reroutes the stream off engines that report that they are slow. If it
 // can't be rerouted, the stream stays on them.
 func (s *stream) rerouteOffSlow() {
--- a/peer/node.go
+++ b/peer/node.go
@@ -60,6 +60,8 @@
 	DialTimeout time.Duration
 	// MaxBytes limits the size of one message.
 	MaxBytes int64
+	// Relay connects to replicas for other hosts; nil refuses that.
+	Relay RelayHandler
 	// IdleTimeout is the idle timeout of a connection, or 0 for 90 s.
 	IdleTimeout time.Duration
 }
@@ -201,8 +203,17 @@
 func (n *Node) serveStream(ctx context.Context, s *quic.Stream) {
 	// A failure to close is irrelevant if the peer has disconnected.
 	defer func() { _ = s.Close() }()
+	var first [1]byte
+	if _, err := io.ReadFull(s, first[:]); err != nil {
+		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
+		return
+	}
+	if first[0] == relayMark {
+		n.serveRelay(ctx, s)
+		return
+	}
 	var m Message
-	if err := n.read(s, &m); err != nil {
+	if err := n.read(withFirst(first[0], s), &m); err != nil {
 		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
 		return
 	}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -42,12 +42,18 @@
 
 // startNode starts a node at an address. It serves until the test ends.
 func startNode(t *testing.T, trust *trustStore, address string) (n *peer.Node, pin string) {
+	t.Helper()
+	return startRelay(t, trust, address, nil)
+}
+
+// startRelay is startNode with a handler that connects to replicas.
+func startRelay(t *testing.T, trust *trustStore, address string, r peer.RelayHandler) (n *peer.Node, pin string) {
 	t.Helper()
 	cfg, pin, err := keys.Pinned("entry", time.Now(), trust.trusts)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err = peer.NewNode(peer.Options{Address: address, DialTimeout: 5 * time.Second, MaxBytes: 1 << 20}, cfg, echo{}, slog.New(slog.DiscardHandler))
+	n, err = peer.NewNode(peer.Options{Address: address, DialTimeout: 5 * time.Second, MaxBytes: 1 << 20, Relay: r}, cfg, echo{}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/relay/connector.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// maxRelayed is the number of connections that a host relays at a time. It bounds what
+// other hosts take from this host's own callers.
+const maxRelayed = 512
+
+// Connector connects to replicas for other hosts. It is safe for concurrent use.
+type Connector struct {
+	dialer *Dialer
+	// listed reports whether a replica is listed at an address.
+	listed  func(address string) bool
+	relayed atomic.Int64
+}
+
+// NewConnector returns a connector to the replicas for which listed returns true.
+func NewConnector(d *Dialer, listed func(address string) bool) *Connector {
+	return &Connector{dialer: d, listed: listed}
+}
+
+// Relayed returns the number of connections that are relayed for other hosts now.
+func (c *Connector) Relayed() int { return int(c.relayed.Load()) }
+
+// Connect returns a direct connection to a replica, or an *Error that says why there is
+// none.
+func (c *Connector) Connect(ctx context.Context, address string) (net.Conn, error) {
+	if !c.listed(address) {
+		return nil, &Error{Op: "connect", Kind: KindUnreachable}
+	}
+	if c.relayed.Add(1) > maxRelayed {
+		c.relayed.Add(-1)
+		return nil, &Error{Op: "connect", Kind: KindBusy}
+	}
+	conn, err := c.dialer.DialFor(ctx, address)
+	if err != nil {
+		c.relayed.Add(-1)
+		return nil, err
+	}
+	return &countedConn{Conn: conn, connector: c}, nil
+}
+
+// countedConn is a connection that counts as relayed until it is closed.
+type countedConn struct {
+	net.Conn
+	connector *Connector
+	once      sync.Once
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.connector.relayed.Add(-1) })
+	return c.Conn.Close()
+}
