daemon, enginehttp, servicehttp: the native protocol relays connections, too

Hosts that serve with the native interface had the same fault: an entry host that was cut from engines and services refused its callers. Their clients now open connections with the same dialer, through other entry hosts where the own link is down; so do status polls, which keeps endpoints from being suspected for a cut of the host.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"bulrushshed/publication"
 	"bulrushshed/quarantine"
 	"bulrushshed/ratelimit"
+	"bulrushshed/relay"
 	"bulrushshed/settings"
 )
 
@@ -62,6 +63,8 @@
 	allocator    *admit.Allocator
 	meter        *meter.Meter
 	platform     *platformhttp.Client
+	dialer       *relay.Dialer
+	connector    *relay.Connector
 	engines      *enginehttp.Client
 	callerServer *caller.Server
 	canceller    *canceller
@@ -163,7 +166,7 @@
 
 func (d *Daemon) listenPeers() error {
 	node, err := peer.NewNode(peer.Options{
-		Address: d.cfg.PeerAddress, DialTimeout: d.cfg.Times.Peer.D(), MaxBytes: maxPeerBytes,
+		Address: d.cfg.PeerAddress, DialTimeout: d.cfg.Times.Peer.D(), MaxBytes: maxPeerBytes, Relay: d.connector,
 	}, d.tls, d, d.log)
 	d.peerNode = node
 	return err
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/samber/do/v2"
+
 	"bulrushshed/daemon"
 	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
@@ -51,7 +53,8 @@
 	return 10
 }
 
-func newFleet(b testing.TB, n int) *fleet {
+// newFleet starts n hosts. configure may change what the injector of a host provides.
+func newFleet(b testing.TB, n int, configure ...func(host int, i do.Injector)) *fleet {
 	b.Helper()
 	lastNetwork++
 	f := &fleet{b: b, size: n, network: lastNetwork}
@@ -69,7 +72,11 @@
 	must(b, os.WriteFile(filepath.Join(dir, "ca.crt"), ca.Cert, 0o600))
 	for i := range n {
 		cfg := f.settings(dir, ca, i, "http://"+platformAddress)
-		go func() { done <- daemon.Run(ctx, daemon.Wire(cfg)) }()
+		injector := daemon.Wire(cfg)
+		for _, c := range configure {
+			c(i, injector)
+		}
+		go func() { done <- daemon.Run(ctx, injector) }()
 	}
 	b.Cleanup(func() {
 		cancel()
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,6 +18,7 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
+	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
 	"bulrushshed/lease"
 	"bulrushshed/meter"
@@ -25,6 +26,7 @@
 	"bulrushshed/publication"
 	"bulrushshed/quarantine"
 	"bulrushshed/ratelimit"
+	"bulrushshed/relay"
 	"bulrushshed/route"
 	"bulrushshed/servicehttp"
 	"bulrushshed/settings"
@@ -75,6 +77,7 @@
 func Wire(cfg settings.Settings) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, cfg)
+	do.ProvideValue(i, DirectDial(jsonhttp.DialDirect))
 	do.Provide(i, newLogger)
 	do.Provide(i, newDaemon)
 	do.Provide(i, newCompletionRunner)
@@ -116,9 +119,11 @@
 		meter:           meter.New(maxCustomers, maxClasses),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
+	d.dialer = newDialer(d, do.MustInvoke[DirectDial](i))
+	d.connector = relay.NewConnector(d.dialer, d.isEndpoint)
 	d.limits = ratelimit.NewLimits(d.gossipLimit, log)
 	d.limiter = ratelimit.NewLimiter(d.limits, limitHosts{d}, log)
-	d.engines = enginehttp.NewClient(t.Peer.D(), d.limits)
+	d.engines = enginehttp.NewClient(t.Peer.D(), d.limits, d.dialer.Dial)
 	d.journal = claim.NewJournal(d.self, maxBatchOutcomes, maxJournalAnswerBytes)
 	d.ledger = claim.NewLedger(t.KeyTTL.D())
 	d.canceller = newCanceller(d.engines, log)
@@ -148,6 +153,8 @@
 	})
 	d.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(d.quarantine.Held(time.Now())) })
 	d.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(d.limits.Len(time.Now())) })
+	d.meter.Gauge("bulrushshed_links_down", func() float64 { return float64(d.dialer.CountDown()) })
+	d.meter.Gauge("bulrushshed_relayed_connections", func() float64 { return float64(d.connector.Relayed()) })
 	d.meter.Gauge("bulrushshed_peer_bytes", func() float64 { return float64(d.peerNode.Bytes()) })
 	d.meter.Gauge("bulrushshed_log_age_seconds", func() float64 { return time.Since(d.follower.State().LastRead).Seconds() })
 }
@@ -168,7 +175,7 @@
 	deliverer := delivery.New(delivery.Options{
 		Self: d.self, MaxAttempts: d.cfg.Limits.Attempts, PickWait: d.cfg.Times.RouteWait.D(),
 	}, delivery.Dependencies{
-		Services: servicehttp.NewClient(d.limits), Replicas: planner{d}, Limiter: d.limiter, Quarantine: d.quarantine, HomeClient: homeClient{d}, Table: d.claims,
+		Services: servicehttp.NewClient(d.limits, d.dialer.Dial), Replicas: planner{d}, Limiter: d.limiter, Quarantine: d.quarantine, HomeClient: homeClient{d}, Table: d.claims,
 		Journal: d.journal, Outcomes: outcomeLookup{d}, Gate: callGate{d}, Counter: d.meter, Log: d.log,
 	})
 	d.deliverer = deliverer
--- a/enginehttp/client.go
+++ b/enginehttp/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -67,10 +68,15 @@
 	limits      LimitRecorder
 }
 
+// Dial opens a connection to an address. No byte may have been sent if it fails.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // NewClient returns a client; callTimeout limits each request that is not a stream. The
-// client passes on the limits that the answers name.
-func NewClient(callTimeout time.Duration, limits LimitRecorder) *Client {
-	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), callTimeout: callTimeout, limits: limits}
+// client passes on the limits that the answers name, and opens its connections with dial.
+func NewClient(callTimeout time.Duration, limits LimitRecorder, dial Dial) *Client {
+	opts := jsonhttp.DefaultOptions()
+	opts.Dial = dial
+	return &Client{http: jsonhttp.NewClient(opts), callTimeout: callTimeout, limits: limits}
 }
 
 // eventBuffer is the number of events buffered for a slow caller before the
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -1,6 +1,7 @@
 package jsonhttp
 
 import (
+	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -65,6 +66,9 @@
 // Options limit a client's connections and responses.
 type Options struct {
 	DialTimeout time.Duration
+	// Dial opens connections; nil opens them directly. No byte may have been sent if it
+	// fails.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnsPerHost limits the concurrent connections of Do and Call to one
 	// address.
 	MaxConnsPerHost int
@@ -103,7 +107,7 @@
 		NoDefaultUserAgentHeader:  true,
 		TLSConfig:                 o.TLS,
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, o.DialTimeout)
+			conn, err := o.dial(context.Background(), address)
 			if err != nil {
 				return nil, dialError{err}
 			}
@@ -112,6 +116,21 @@
 	}}
 }
 
+// dial opens a connection within DialTimeout.
+func (o Options) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+	defer cancel()
+	if o.Dial != nil {
+		return o.Dial(ctx, address)
+	}
+	return DialDirect(ctx, address)
+}
+
+// DialDirect opens a TCP connection.
+func DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // Request is a request to an absolute URL.
 type Request struct {
 	Method  string
--- a/jsonhttp/stream.go
+++ b/jsonhttp/stream.go
@@ -99,8 +99,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*countingConn, error) {
-	d := net.Dialer{Timeout: c.opts.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := c.opts.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/servicehttp/client.go
+++ b/servicehttp/client.go
@@ -25,12 +25,18 @@
 type Client struct {
 	http   *jsonhttp.Client
 	limits LimitRecorder
+	dial   Dial
 }
 
+// Dial opens a connection to an address. No byte may have been sent if it fails.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // NewClient returns a client that never retries a call. It passes on the limits that the
-// answers name.
-func NewClient(limits LimitRecorder) *Client {
-	return &Client{http: jsonhttp.NewClient(jsonhttp.DefaultOptions()), limits: limits}
+// answers name, and opens its connections with dial.
+func NewClient(limits LimitRecorder, dial Dial) *Client {
+	opts := jsonhttp.DefaultOptions()
+	opts.Dial = dial
+	return &Client{http: jsonhttp.NewClient(opts), limits: limits, dial: dial}
 }
 
 // Send sends a call once, on a connection of its own, which is closed when ctx is
@@ -46,7 +52,7 @@
 
 // IsDown reports whether the connection to an address is refused.
 func (c *Client) IsDown(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
