relay, hosted, daemon: a host that stops relays to the end, and says in time what it does not reach

Two faults of the relay, found by reading. A planned stop of a relaying host cut the streams of the host that is cut from the replicas: it waited for its own requests only. It now refuses new connections as it begins to stop and waits for those that it relays, within the same grace period. And a host whose dial for another one hung for 200 ms was taken for silent after 150 ms and avoided for a second, where it is the replica that is silent; such a dial ends after 100 ms.

TestStoppingHostRelaysToTheEnd broke off before and passes; the second is TestDialForOthersOfSilentReplicaIsShort.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -34,6 +34,8 @@
 	// From here on, calls with new keys are refused, and the running ones end.
 	d.claims.Close()
 	d.pollUntil(func() bool { return d.gate.ActiveRequests() == 0 && d.claims.Running() == 0 }, deadline)
+	d.connector.Stop()
+	d.pollUntil(func() bool { return d.connector.Relayed() == 0 }, deadline)
 	d.gate.Close()
 	interrupted := max(d.gate.ActiveRequests(), d.claims.Running())
 	if interrupted == 0 {
--- a/daemon/hosted/drain.go
+++ b/daemon/hosted/drain.go
@@ -4,22 +4,23 @@
 
 // drain leaves the group and keeps accepting requests for a while, because
 // callers may still have this host's address cached. It then closes the
-// listener and waits until all requests have been answered or the grace
+// listener and waits until all requests, also those that it relays, have been answered or the grace
 // period, within which a stopping host must exit, is about to end.
 func (h *Host) drain() {
 	startedAt := time.Now()
 	h.stopping.Store(true)
 	h.log.Info("host: stopping", "requests", h.callerServer.Active())
 	leaveDone := h.group.leave()
+	h.connector.Stop()
 	acceptFor := time.Duration(drainAcceptFraction * float64(h.cfg.Grace.D()))
 	time.Sleep(acceptFor)
 	h.closing.Store(true)
 	if err := h.listener.Close(); err != nil {
 		h.log.Warn("host: closing the listener failed", "cause", err.Error())
 	}
-	for h.callerServer.Active() > 0 && time.Since(startedAt) < h.cfg.Grace.D()-drainExitMargin {
+	for h.callerServer.Active()+int64(h.connector.Relayed()) > 0 && time.Since(startedAt) < h.cfg.Grace.D()-drainExitMargin {
 		time.Sleep(drainPollInterval)
 	}
 	<-leaveDone
-	h.log.Info("host: drained", "requests_cut", h.callerServer.Active(), "took_ms", time.Since(startedAt).Milliseconds())
+	h.log.Info("host: drained", "requests_cut", h.callerServer.Active(), "relayed_cut", h.connector.Relayed(), "took_ms", time.Since(startedAt).Milliseconds())
 }
--- a/daemon/hosted/relay_test.go
+++ b/daemon/hosted/relay_test.go
@@ -90,3 +90,21 @@
 		await(t, "responses after the cut", func() bool { return servedEverything(t, h) })
 	}
 }
+
+// A host that stops goes on relaying the streams of other hosts until they end.
+func TestStoppingHostRelaysToTheEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newServingFleet(t, 2)
+	for _, e := range f.engines {
+		e.eventInterval = 100 * time.Millisecond
+	}
+	h, relaying := f.hosts[0], f.hosts[1]
+	h.links.set(cutRefusing)
+	await(t, "response 200 during the cut", func() bool { return statusOf(h.request(t, "GET", "/stock/1", "k1")) == 200 })
+	time.AfterFunc(300*time.Millisecond, relaying.stop)
+	status, body := h.request(t, "POST", "/draft/1", "k1")
+	is.Equal(status, 200)
+	is.Equal(strings.Count(body, "id: 20\n"), 1)
+	h.links.set(cutNone)
+}
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -22,6 +22,7 @@
 // A host that is cut from the services has its calls relayed by another host, and makes
 // them directly again after the cut.
 func TestCallsAreRelayedDuringCut(t *testing.T) {
+	t.Parallel()
 	var cut atomic.Bool
 	var direct atomic.Int64
 	f := newFleet(t, 2, func(host int, i do.Injector) {
--- a/relay/connector.go
+++ b/relay/connector.go
@@ -17,6 +17,7 @@
 	// listed reports whether a replica is listed at an address.
 	listed  func(address string) bool
 	relayed atomic.Int64
+	stopped atomic.Bool
 }
 
 // NewConnector returns a connector to the replicas for which listed returns true.
@@ -27,9 +28,15 @@
 // Relayed returns the number of connections that are relayed for other hosts now.
 func (c *Connector) Relayed() int { return int(c.relayed.Load()) }
 
+// Stop refuses new connections from now on. Those that are relayed go on.
+func (c *Connector) Stop() { c.stopped.Store(true) }
+
 // Connect returns a direct connection to a replica, or an *Error that says why there is
 // none.
 func (c *Connector) Connect(ctx context.Context, address string) (net.Conn, error) {
+	if c.stopped.Load() {
+		return nil, &Error{Op: "connect", Kind: KindBusy}
+	}
 	if !c.listed(address) {
 		return nil, &Error{Op: "connect", Kind: KindUnreachable}
 	}
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -20,6 +20,9 @@
 	// bounds the answer of each.
 	maxHostsAsked = 3
 	askTimeout    = 150 * time.Millisecond
+	// dialForTimeout bounds a dial for another host, which must learn before askTimeout
+	// that it failed.
+	dialForTimeout = 100 * time.Millisecond
 )
 
 // Host is a host that can be asked to connect to a replica.
@@ -98,6 +101,8 @@
 	if d.links.state(address, now).down && !d.links.startProbe(address, now) {
 		return nil, &Error{Op: "dial", Kind: KindUnreachable}
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialForTimeout)
+	defer cancel()
 	conn, err := d.dialDirect(ctx, address)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindUnreachable, Cause: err}
--- a/relay/dialer_test.go
+++ b/relay/dialer_test.go
@@ -282,6 +282,22 @@
 	})
 }
 
+// A host that asks must learn of a silent replica before it takes the asked host for
+// silent.
+func TestDialForOthersOfSilentReplicaIsShort(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d := newNetwork(hangs, nil)
+		began := time.Now()
+		_, err := d.DialFor(t.Context(), replica)
+		var e *relay.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, relay.KindUnreachable)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+	})
+}
+
 // A relayed connection may last as long as the request that it is for.
 func TestLifetimeIsThatOfTheRequest(t *testing.T) {
 	t.Parallel()
@@ -322,5 +338,10 @@
 		is.NoErr(conns[0].Close())
 		is.NoErr(conns[0].Close())
 		is.Equal(c.Relayed(), 511)
+		c.Stop()
+		_, err = c.Connect(t.Context(), replica)
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, relay.KindBusy)
+		is.Equal(c.Relayed(), 511)
 	})
 }
