hosted: callers are not refused while the store is away for a moment

A read of the configuration waits up to 1.5 s for changes, and confirms the keys as of its start, so a confirmation was up to 3 s old when the next read failed, of 4.7 s that it is valid. Reads wait for 0.7 s now, which makes that 1.4 s.

TestConfigurationIsConfirmedOften got 1.7 s, wants 3 s.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -15,7 +15,7 @@
 	// read until there are changes. The first bounds the age of the confirmation
 	// that API keys are valid, the second the time until a dead connection is
 	// noticed.
-	configPollTimeout   = 1500 * time.Millisecond
+	configPollTimeout   = 700 * time.Millisecond
 	replicasPollTimeout = 2 * time.Second
 	// feedRetryDelay is the pause after a failed poll of the source while the
 	// store is unavailable, too.
--- a/daemon/hosted/restore_test.go
+++ b/daemon/hosted/restore_test.go
@@ -145,3 +145,18 @@
 	is.New(t).Equal(findings(), 0)
 	await(t, "the same findings in the store", func() bool { return findings() >= before })
 }
+
+// Keys must be accepted for 3 s without the store, counted from any moment: a confirmation
+// is as old as two reads of the configuration when the next one fails.
+func TestConfigurationIsConfirmedOften(t *testing.T) {
+	t.Parallel()
+	const outage = 3 * time.Second
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	f.awaitAccepted(t, "k1", h)
+	await(t, "long read of the configuration", func() bool { return h.proxy.configWait() > 0 })
+	validity := time.Duration(0.94 * float64(h.cfg.Revoke.D()))
+	if got := validity - 2*h.proxy.configWait(); got < outage {
+		t.Errorf("got keys accepted for %v without the store, want at least %v", got, outage)
+	}
+}
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -51,15 +51,17 @@
 	mu sync.Mutex
 	// unresponsive makes the proxy pass requests on to the store but never respond.
 	unresponsive bool
-	// timeouts holds the wait_ms parameter of each read.
-	timeouts []string
+	// timeouts holds the wait_ms parameter of each read, and longestConfigWait the longest
+	// one of a read of the configuration, in ms.
+	timeouts          []string
+	longestConfigWait int
 }
 
 // newProxy starts another proxy to the store.
 func (s *store) newProxy(t *testing.T) *storeProxy {
 	d := &storeProxy{}
 	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.recordPollTimeout(r.URL.Query().Get("wait_ms"))
+		d.recordPollTimeout(r.URL.Query().Get("topic"), r.URL.Query().Get("wait_ms"))
 		recorded := httptest.NewRecorder()
 		s.server.Config.Handler.ServeHTTP(recorded, r)
 		d.mu.Lock()
@@ -77,14 +79,24 @@
 	return d
 }
 
-func (d *storeProxy) recordPollTimeout(timeout string) {
+func (d *storeProxy) recordPollTimeout(topic, timeout string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if ms, err := strconv.Atoi(timeout); err == nil && topic == "keyed.op" {
+		d.longestConfigWait = max(d.longestConfigWait, ms)
+	}
 	if timeout != "" {
 		d.timeouts = append(d.timeouts, timeout)
 	}
 }
 
+// configWait returns the longest time for which a read of the configuration waited.
+func (d *storeProxy) configWait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.longestConfigWait) * time.Millisecond
+}
+
 // pollTimeouts returns the wait_ms parameter of each read.
 func (d *storeProxy) pollTimeouts() []string {
 	d.mu.Lock()
