--- a/daemon/hosted/doc.go
+++ b/daemon/hosted/doc.go
@@ -11,6 +11,13 @@
 // followers. The loops also keep the host in the group of entry hosts and, on
 // the one host that owns the group's first partition, assign layers to engines.
 //
+// The store may be restored from an older copy; it then begins a new era, and
+// offsets, the group's generation and what was written since fall back. An
+// eraClock tracks that. What this host has applied stays in force.
+//
+// Connections to replicas are opened by a dialer that relays them through other
+// hosts where this host's own links are down (package relay).
+//
 // Requests run on the HTTP server's worker goroutines and use shared state. The
 // configuration and the view of the replicas are replaced atomically. All other
 // state has its own lock, which is held neither during a network call nor together
--- a/feed/doc.go
+++ b/feed/doc.go
@@ -11,6 +11,10 @@
 // timeout. It also carries the members of the group if the follower knows an
 // older generation of them.
 //
+// A place in a topic is a [Position]: an era of the store and an offset in it. A
+// host that has seen a new era offers nothing that it has read in an older one,
+// and a follower of an older era gets a snapshot.
+//
 // Large pages are compressed, once for all followers. Very large ones are only
 // announced, and each host fetches them from the store, so that the link of the
 // reading host does not become a bottleneck.
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -71,19 +71,14 @@
 	return refusing
 }
 
-// whyExhausted returns causeAttempts if the stream may not be sent again, or "". Once
-// its caller reads the answer, refusals and unreachable engines do not end it: it waits
-// until an engine takes it.
-func (s *stream) whyExhausted() string {
+// exhausted reports whether the stream may not be sent again. Once its caller reads the
+// answer, refusals and unreachable engines do not end it: it waits until an engine takes it.
+func (s *stream) exhausted() bool {
 	limit := s.rule.MaxAttempts + extraSends
-	exhausted := s.sends-s.refusals >= limit
-	if !s.begun() {
-		exhausted = s.sends >= limit || s.unreachable > maxUnreachable
+	if s.begun() {
+		return s.sends-s.refusals >= limit
 	}
-	if exhausted {
-		return causeAttempts
-	}
-	return ""
+	return s.sends >= limit || s.unreachable > maxUnreachable
 }
 
 // whyBlocked returns why no attempt may start now, or "".
@@ -94,7 +89,7 @@
 	switch {
 	case s.ctx.Err() != nil || time.Until(s.deadline) < minRemaining:
 		return causeDeadline
-	case s.whyExhausted() != "":
+	case s.exhausted():
 		return causeAttempts
 	case len(s.ran) > 0 && !s.rule.Resumable:
 		return "not_resumable"
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -14,6 +14,10 @@
 // before anyone else can claim, provided that their clocks do not drift apart by
 // more than the margin during a term.
 //
+// If the log is restored from an older copy, hosts may know records that it has
+// lost. [Elector.Reset] then makes an unknown host the holder for all of them, so that
+// nobody claims the lease before whoever held it has stopped.
+//
 // An [Elector] runs this protocol on one host: it determines which record to append
 // next, and whether the host holds the lease. It is up to the caller to read and
 // append the records, and to provide the time.
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -6,6 +6,10 @@
 // side, the server writes a [Reply] and closes the other. Both are encoded as
 // CBOR.
 //
+// A stream that begins with a mark in place of a message relays a connection: the
+// client names a replica, the server connects to it (see package relay), and both
+// copy bytes until one of them ends the connection.
+//
 // A [Node] serves peers and calls them, over one outgoing connection to each
 // that is kept open. What a message does is left to the [Handler], and whom to
 // call and whether to retry to the caller.
--- a/publication/doc.go
+++ b/publication/doc.go
@@ -8,6 +8,10 @@
 // before that. From that record, or from a peer's snapshot, a new host can
 // resume at the current start of the log.
 //
+// After the log was restored from an older copy, the holder of the lease appends a
+// checkpoint from which the publications of the new era are judged
+// ([Follower.EraBase]).
+//
 // Operators' tools use [Publish] to append a rule file to the log and learn its
 // version, and [History] to list all publications with their verdicts.
 //
