--- a/forward/resume.go
+++ b/forward/resume.go
@@ -71,9 +71,9 @@
 	return refusing
 }
 
-// exhausted reports whether the stream may not be sent again. Once its caller reads the
+// outOfSends reports whether the stream may not be sent again. Once its caller reads the
 // answer, refusals and unreachable engines do not end it: it waits until an engine takes it.
-func (s *stream) exhausted() bool {
+func (s *stream) outOfSends() bool {
 	limit := s.rule.MaxAttempts + extraSends
 	if s.begun() {
 		return s.sends-s.refusals >= limit
@@ -89,7 +89,7 @@
 	switch {
 	case s.ctx.Err() != nil || time.Until(s.deadline) < minRemaining:
 		return causeDeadline
-	case s.exhausted():
+	case s.outOfSends():
 		return causeAttempts
 	case len(s.ran) > 0 && !s.rule.Resumable:
 		return "not_resumable"
