--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -48,7 +48,15 @@
 		done <- standin.Listen(ctx, service.App(), serviceAddress)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	must(t, f.platform.Announce(service.Host()))
+	await := func(what string, condition func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("got no %s within 30 s", what)
+			}
+		}
+	}
+	await("platform that takes the service's entry", func() bool { return f.platform.Announce(service.Host()) == nil })
 	_, err = publication.Publish(f.platform, rule.Publication{
 		ID: publication.NewID(), Author: "test", Text: "class path=/stock/* service=stock idempotent=yes deadline=2s # test: relay\n",
 	}, 50*time.Millisecond, 100)
@@ -66,14 +74,6 @@
 		}
 		return err == nil && r.Status == http.StatusOK
 	}
-	await := func(what string, condition func() bool) {
-		t.Helper()
-		for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(20 * time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("got no %s within 30 s", what)
-			}
-		}
-	}
 	await("answer", served)
 	await("two hosts", func() bool { s, ok := f.status(0); return ok && len(s.Hosts) >= 3 })
 	cut.Store(true)
