hosted: a stopping host relays as long as it accepts callers

It refuses new connections from when it closes its listener. The test has a grace period that leaves room on a slow machine, and still fails where the host does not wait for what it relays.

--- a/daemon/hosted/drain.go
+++ b/daemon/hosted/drain.go
@@ -11,10 +11,10 @@
 	h.stopping.Store(true)
 	h.log.Info("host: stopping", "requests", h.callerServer.Active())
 	leaveDone := h.group.leave()
-	h.connector.Stop()
 	acceptFor := time.Duration(drainAcceptFraction * float64(h.cfg.Grace.D()))
 	time.Sleep(acceptFor)
 	h.closing.Store(true)
+	h.connector.Stop()
 	if err := h.listener.Close(); err != nil {
 		h.log.Warn("host: closing the listener failed", "cause", err.Error())
 	}
