--- a/publication/era.go
+++ b/publication/era.go
@@ -17,6 +17,14 @@
 	f.elector.Reset(hostlog.Position(era, 0), now)
 }
 
+// mayBeOutdated reports whether this host has started after a restore of the log and knows
+// only what the copy contains. Hosts that have run longer may have a newer file in force.
+// The caller holds mu.
+func (f *Follower) mayBeOutdated() bool {
+	base, _ := f.rules.BaseEra()
+	return f.Current().Version == 0 && !f.restored && f.era > base
+}
+
 // firstOffset returns the offset from which the records of a page were requested: the
 // first one of the log if its position was of an earlier era.
 func firstOffset(from int64, page hostlog.Page) int64 {
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -75,6 +75,8 @@
 	state   State
 	// era is the newest era of the log that was read.
 	era int64
+	// restored is set once a peer's snapshot was applied.
+	restored bool
 }
 
 // NewFollower returns a follower with no active file.
@@ -94,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state
-	s.Version = f.rules.Current().Version
+	s.Version = f.Current().Version
 	s.ReadTo = f.rules.ReadTo()
 	s.Complete = f.rules.Complete()
 	s.Lease = f.elector.State()
@@ -118,7 +120,10 @@
 
 // Restore applies the snapshot of a peer.
 func (f *Follower) Restore(s Snapshot) {
-	f.apply(func() { f.restore(s, time.Now()) })
+	f.apply(func() {
+		f.restored = true
+		f.restore(s, time.Now())
+	})
 }
 
 func (f *Follower) restore(s Snapshot, now time.Time) {
@@ -185,16 +190,16 @@
 // makes the file visible to readers and calls onChange.
 func (f *Follower) apply(change func()) {
 	f.mu.Lock()
-	before := f.rules.Current().Version
 	change()
 	cur := f.rules.Current()
 	s, _ := f.snapshot()
-	if cur.Version > before {
+	isNewer := cur.Version > f.Current().Version && !f.mayBeOutdated()
+	if isNewer {
 		f.previous.Store(f.current.Load())
 		f.current.Store(&cur)
 	}
 	f.mu.Unlock()
-	if cur.Version > before {
+	if isNewer {
 		f.log.Info("publication: activated rule file", "version", int64(cur.Version), "author", cur.Author)
 		f.onChange(s)
 	}
