--- a/claim/journal.go
+++ b/claim/journal.go
@@ -129,7 +129,7 @@
 }
 
 // ObserveEra records the era of the log. In a new one, the latest batches are appended
-// again: the log was restored from a copy that may lack them.
+// again: the log was restored from a backup, which may lack them.
 func (j *Journal) ObserveEra(era int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -27,7 +27,7 @@
 )
 
 // appliedConfig is the newest configuration that this host has applied, as the operator
-// wrote it. It is never replaced by an older one: a store that is restored from a copy
+// wrote it. It is never replaced by an older one: a store that is restored from a backup
 // may list an older one until the operator has written the newest again.
 type appliedConfig struct {
 	version int64
@@ -64,12 +64,12 @@
 }
 
 // isNewlyWritten reports whether the operator has written a version since the store was
-// last restored. Whatever the restore has lost is written again by then.
+// last restored. Whatever the restore has lost is republished by then.
 func (h *Host) isNewlyWritten(version int64, at feed.Position, snapshot bool) bool {
 	if !snapshot {
 		return true
 	}
-	// What the copy lists has the offset that it had before.
+	// What the backup lists has the offset that it had before.
 	old := h.applied.Load()
 	return old != nil && old.direct && version == old.version && at.Era > old.at.Era && at.Offset != old.at.Offset
 }
--- a/daemon/hosted/doc.go
+++ b/daemon/hosted/doc.go
@@ -11,7 +11,7 @@
 // followers. The loops also keep the host in the group of entry hosts and, on
 // the one host that owns the group's first partition, assign layers to engines.
 //
-// The store may be restored from an older copy; it then begins a new era, and
+// The store may be restored from a backup; it then begins a new era, and
 // offsets, the group's generation and what was written since fall back. An
 // eraClock tracks that. What this host has applied stays in force.
 //
--- a/daemon/hosted/era.go
+++ b/daemon/hosted/era.go
@@ -19,7 +19,7 @@
 	// witnessed is set if this host has seen the era before, so that the newest one is not
 	// older than seenAt by much.
 	witnessed bool
-	// settledEra is the newest era in which the operator is known to have written again
+	// settledEra is the newest era in which the operator is known to have republished
 	// what a restore has lost.
 	settledEra int64
 }
@@ -69,11 +69,11 @@
 	return c.witnessed && age < d
 }
 
-// rewriteTime is how long after a restore the operator may take to write again what it
-// wrote since the copy.
+// rewriteTime is how long after a restore the operator may take to republish what it
+// wrote since the backup.
 const rewriteTime = 2 * time.Second
 
-// settle records that the operator has written again what the restore before an era has
+// settle records that the operator has republished what the restore before an era has
 // lost.
 func (c *eraClock) settle(era int64) {
 	c.mu.Lock()
@@ -96,6 +96,6 @@
 	if !isNewer {
 		return
 	}
-	h.log.Info("store: restored from an older copy", "old_era", old, "era", era)
+	h.log.Info("store: restored from a backup", "old_era", old, "era", era)
 	h.feed.log.ObserveEra(era)
 }
--- a/daemon/hosted/era_test.go
+++ b/daemon/hosted/era_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A copy may give the control lease to another host than the store did. The new holder
+// A backup may give the control lease to another host than the store did. The new holder
 // must not send orders while the old one, which does not know of the restore, still may.
 func TestLeaseOfNewEraBeginsAfterTheOldOne(t *testing.T) {
 	t.Parallel()
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -34,7 +34,7 @@
 	// members for the first time.
 	startupJoinDelay = 300 * time.Millisecond
 	// rejoinDelay is how long after the beginning of an era members are not read: the
-	// copy that the store was restored from lists the members of some time ago, and all
+	// backup that the store was restored from lists the members of some time ago, and all
 	// hosts renew their membership within this time.
 	rejoinDelay = (followerHeartbeatTicks + 1) * heartbeatInterval
 	// maxHosts is the number of hosts up to which all are visible as members, and
--- a/daemon/hosted/restore_test.go
+++ b/daemon/hosted/restore_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// A copy lists a replica that has drained since, and one that is gone, as ready.
+// A backup lists a replica that has drained since, and one that is gone, as ready.
 func TestRestoreKeepsDrainedReplicas(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
--- a/daemon/hosted/stored.go
+++ b/daemon/hosted/stored.go
@@ -25,7 +25,7 @@
 )
 
 // settledEraKey is the key of the record with the newest era in which the operator has
-// written again what a restore had lost. A host that starts need not wait for that then.
+// republished what a restore had lost. A host that starts need not wait for that then.
 const settledEraKey = "settled_era"
 
 // storedEra is the value of the record under settledEraKey.
@@ -222,7 +222,7 @@
 	s.host.era.settle(stored.Era)
 }
 
-// encodeStored returns the value of a finding in the store. One that is written again keeps
+// encodeStored returns the value of a finding in the store. One that is rewritten keeps
 // the time at which it expires.
 func encodeStored(i gossip.Item, now time.Time) []byte {
 	stored := storedFinding{Stamp: i.Stamp, Value: i.Value, WrittenAtMS: now.UnixMilli()}
--- a/feed/position.go
+++ b/feed/position.go
@@ -3,7 +3,7 @@
 import "cmp"
 
 // Position is a place in a topic. The store begins a new era each time it is restored
-// from an older copy, and then gives out offsets again.
+// from a backup, and then gives out offsets again.
 type Position struct {
 	Era    int64
 	Offset int64
--- a/hostlog/position.go
+++ b/hostlog/position.go
@@ -8,7 +8,7 @@
 )
 
 // Position returns the position of an offset in an era. The platform begins a new era each
-// time it restores the log from an older copy, and then gives out offsets again. Positions
+// time it restores the log from a backup, and then gives out offsets again. Positions
 // increase across eras; in the first era they are the offsets.
 func Position(era, offset int64) int64 { return max(era-firstEra, 0)<<offsetBits | offset }
 
--- a/hostlog/record.go
+++ b/hostlog/record.go
@@ -23,7 +23,7 @@
 	Type RecordType      `json:"type"`
 	Body json.RawMessage `json:"body"`
 	// Era is the era of the log that the writer knew, or 0 for the first one. A record
-	// that a restored log has from its copy is so told from one that is newer.
+	// that a restored log has from its backup is so told from one that is newer.
 	Era int64 `json:"era,omitempty"`
 }
 
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -14,7 +14,7 @@
 // before anyone else can claim, provided that their clocks do not drift apart by
 // more than the margin during a term.
 //
-// If the log is restored from an older copy, hosts may know records that it has
+// If the log is restored from a backup, hosts may know records that it has
 // lost. [Elector.Reset] then makes an unknown host the holder for all of them, so that
 // nobody claims the lease before whoever held it has stopped.
 //
--- a/proof/restore_test.go
+++ b/proof/restore_test.go
@@ -11,7 +11,7 @@
 	"bulrushshed/settings"
 )
 
-// restoreLog restores the platform's log from a copy of the given age.
+// restoreLog restores the platform's log from a backup of the given age.
 func (c *cluster) restoreLog(age time.Duration) {
 	c.noError(c.post(fmt.Sprintf("%s/restore?age_ms=%d", c.platformURL(), age.Milliseconds()), nil))
 }
--- a/publication/doc.go
+++ b/publication/doc.go
@@ -8,7 +8,7 @@
 // before that. From that record, or from a peer's snapshot, a new host can
 // resume at the current start of the log.
 //
-// After the log was restored from an older copy, the holder of the lease appends a
+// After the log was restored from a backup, the holder of the lease appends a
 // checkpoint from which the publications of the new era are judged
 // ([Follower.EraBase]).
 //
--- a/publication/era.go
+++ b/publication/era.go
@@ -12,13 +12,13 @@
 	if era <= f.era {
 		return
 	}
-	f.log.Warn("publication: log was restored from an older copy", "old_era", f.era, "era", era)
+	f.log.Warn("publication: log was restored from a backup", "old_era", f.era, "era", era)
 	f.era = era
 	f.elector.Reset(hostlog.Position(era, 0), now)
 }
 
 // mayBeOutdated reports whether this host has started after a restore of the log and knows
-// only what the copy contains. Hosts that have run longer may have a newer file in force.
+// only what the backup contains. Hosts that have run longer may have a newer file in force.
 // The caller holds mu.
 func (f *Follower) mayBeOutdated() bool {
 	base, _ := f.rules.BaseEra()
--- a/replica/list.go
+++ b/replica/list.go
@@ -116,7 +116,7 @@
 
 const (
 	// removedMemory is how long removed entries are remembered. It exceeds the age of the
-	// copy from which the store may be restored.
+	// backup from which the store may be restored.
 	removedMemory = 2 * time.Minute
 	// maxRemoved bounds the removed entries that are remembered.
 	maxRemoved = 4096
@@ -158,9 +158,9 @@
 	l.replace(all, now)
 }
 
-// Restore sets the complete list after the store was restored from an older copy. What
+// Restore sets the complete list after the store was restored from a backup. What
 // this host knows better stays: a replica that has drained or left since does not come
-// back, and one that the copy lacks stays listed for the grace period, within which all
+// back, and one that the backup lacks stays listed for the grace period, within which all
 // live replicas write their entries again.
 func (l *List) Restore(all []Replica, now time.Time) {
 	l.mu.Lock()
--- a/replica/list_test.go
+++ b/replica/list_test.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// A store that was restored from an older copy lists what replicas wrote some time ago.
+// A store that was restored from a backup lists what replicas wrote some time ago.
 func TestRestoredListKeepsWhatIsKnownBetter(t *testing.T) {
 	t.Parallel()
 	entry := func(id string, started, writes int64, draining bool) replica.Replica {
--- a/rule/state_machine.go
+++ b/rule/state_machine.go
@@ -64,7 +64,7 @@
 }
 
 // StateMachine determines the active file by applying the publications of the
-// log in order. After the log was restored from an older copy, hosts may know accepted
+// log in order. After the log was restored from a backup, hosts may know accepted
 // publications that the log has lost. So that all judge later ones alike, those of a new
 // era are buffered until a checkpoint in the log, or a peer, says from which file the era
 // begins. A StateMachine is not safe for concurrent use.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -100,7 +100,7 @@
 	return err
 }
 
-// serveRestore restores the log from a copy that is age_ms old.
+// serveRestore restores the log from a backup that is age_ms old.
 func (p *Platform) serveRestore(c fiber.Ctx) error {
 	age, err := strconv.Atoi(c.Query("age_ms"))
 	if err != nil {
