--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -57,6 +57,19 @@
 	return f.client.Relay(ctx, f.address, peer.RelayRequest{Address: f.replica.Addr().String(), LifetimeMS: lifetime.Milliseconds()})
 }
 
+// connectAndGreet connects to the replica and sends it a line.
+func (f *relayFixture) connectAndGreet(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := f.connect(t, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "hello\n"); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // accept serves one connection of the replica. The channel has the error with which the
 // connection to it ended.
 func (f *relayFixture) accept(serve func(conn net.Conn)) <-chan error {
@@ -87,10 +100,7 @@
 		_, _ = io.WriteString(conn, "end\n")
 		_ = conn.Close()
 	})
-	conn, err := f.connect(t, time.Minute)
-	is.NoErr(err)
-	_, err = io.WriteString(conn, "hello\n")
-	is.NoErr(err)
+	conn := f.connectAndGreet(t)
 	answer, err := io.ReadAll(conn)
 	is.NoErr(err)
 	is.Equal(string(answer), "got hello\nend\n")
@@ -107,10 +117,7 @@
 		_, _ = io.WriteString(conn, "answer")
 		_ = conn.Close()
 	})
-	conn, err := f.connect(t, time.Minute)
-	is.NoErr(err)
-	_, err = io.WriteString(conn, "hello\n")
-	is.NoErr(err)
+	conn := f.connectAndGreet(t)
 	time.Sleep(200 * time.Millisecond) // the end has arrived
 	buf := make([]byte, 100)
 	n, err := conn.Read(buf)
@@ -133,11 +140,8 @@
 		}
 		_ = conn.Close()
 	})
-	conn, err := f.connect(t, time.Minute)
-	is.NoErr(err)
-	_, err = io.WriteString(conn, "hello\n")
-	is.NoErr(err)
-	_, err = io.ReadAll(conn)
+	conn := f.connectAndGreet(t)
+	_, err := io.ReadAll(conn)
 	is.True(err != nil)
 }
 
