hosted: failing tests of replicas that announce their leaving or name a wait

Callers of a host that had passed on 'Server-Leaving: 1' were still sent to that replica, and a replica that refused with Retry-After got all requests again at once. Nothing in the code reads either header.

--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -48,6 +48,11 @@
 	// of any kind.
 	limit    float64
 	arrivals int
+	// leaving is set if the replica says so in its answers, while its entry does not.
+	leaving bool
+	// retryAfter is the Retry-After of the 503 with which the replica refuses requests, or
+	// "" if it takes them.
+	retryAfter string
 }
 
 // engineRestartTime is how long an engine is down after a crash.
@@ -141,6 +146,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.announceLeaving(w); r.refuse(w) {
+		return
+	}
 	switch {
 	case req.URL.Path == "/api/order":
 		r.order(w, req)
@@ -170,6 +178,35 @@
 	}
 }
 
+// announceLeaving says in the answer that the replica leaves, if it does.
+func (r *replicaStandIn) announceLeaving(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// refuse refuses the request if the replica takes none.
+func (r *replicaStandIn) refuse(w http.ResponseWriter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.retryAfter == "" {
+		return false
+	}
+	w.Header().Set("X-Bulrushshed-Not-Executed", "1")
+	w.Header().Set("Retry-After", r.retryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// set changes how the replica answers.
+func (r *replicaStandIn) set(change func(r *replicaStandIn)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
+
 func (r *replicaStandIn) writeSignatureHeaders(w http.ResponseWriter, req *http.Request) {
 	w.Header().Set("X-Bulrushshed-Server-Seal", r.id)
 	w.Header().Set("X-Bulrushshed-Attempt-Id", req.Header.Get("X-Bulrushshed-Attempt-Id"))
