ratelimit: a replica may name a wait

A replica that refuses a request with 503 may say for how long it wants no requests from this host. One place decides when a replica may be asked again, so the waits are kept in the limiter: Acquire grants nothing during a wait, for urgent requests, checks and orders neither.

--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -13,6 +13,10 @@
 // reached, another one grants 0.4 of the limit, so that the two together never grant more
 // than one and a half times of it.
 //
+// A replica that refuses a request may also name a wait: it wants no more requests from this
+// host until the wait has ended. Waits are kept per host and are not shared, except with a
+// host that relays the connection, which the replica takes for the sender.
+//
 // No clocks are compared and nothing is stored: a host that becomes responsible starts
 // with an idle replica's allowance for one request.
 package ratelimit
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -6,8 +6,6 @@
 	"maps"
 	"sync"
 	"time"
-
-	"github.com/samber/lo"
 )
 
 const (
@@ -60,6 +58,7 @@
 	blocked     map[string]time.Time
 	unreachable map[string]time.Time
 
+	waits   *waits
 	returns returnTimes
 }
 
@@ -67,7 +66,7 @@
 func NewLimiter(limits *Limits, hosts Hosts, log *slog.Logger) *Limiter {
 	return &Limiter{
 		limits: limits, allocator: NewAllocator(), hosts: hosts, log: log,
-		blocked: map[string]time.Time{}, unreachable: map[string]time.Time{}, returns: returnTimes{byService: map[string]time.Time{}},
+		blocked: map[string]time.Time{}, unreachable: map[string]time.Time{}, waits: newWaits(), returns: returnTimes{byService: map[string]time.Time{}},
 	}
 }
 
@@ -80,9 +79,21 @@
 }
 
 // Acquire asks for a permit for one request to a replica, and waits until the request may
-// be sent. A replica that names no limit needs none. The permit is not granted if ctx ends
-// meanwhile.
+// be sent. A replica that names neither a limit nor a wait needs none. The permit is not
+// granted if ctx ends meanwhile, or if the replica waits for longer than the request may.
 func (l *Limiter) Acquire(ctx context.Context, replica string, need Need) Permit {
+	if refusal, ok := l.awaitWait(ctx, replica, need); !ok {
+		return refusal
+	}
+	p := l.acquireTurn(ctx, replica, need)
+	if left := l.waits.left(replica, time.Now()); left > 0 {
+		return Permit{WaitMS: roundUpMS(left)}
+	}
+	return p
+}
+
+// acquireTurn waits for the turn of a request at a replica that names a limit.
+func (l *Limiter) acquireTurn(ctx context.Context, replica string, need Need) Permit {
 	rate, limited := l.limits.Rate(replica, time.Now())
 	if !limited {
 		return Permit{Granted: true}
@@ -108,10 +119,14 @@
 // Blocked returns the replicas that take no more requests for a moment, and how long that
 // lasts.
 func (l *Limiter) Blocked(now time.Time) map[string]time.Duration {
+	blocked := l.waits.all(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	removePast(l.blocked, now)
-	return lo.MapValues(l.blocked, func(until time.Time, _ string) time.Duration { return until.Sub(now) })
+	for replica, until := range l.blocked {
+		blocked[replica] = max(blocked[replica], until.Sub(now))
+	}
+	return blocked
 }
 
 // Answer answers the question of another host.
--- a/ratelimit/returns.go
+++ b/ratelimit/returns.go
@@ -18,14 +18,18 @@
 }
 
 // ReturnAfter returns when a caller should return that is refused because all the given
-// replicas of a service have reached their limits; soonest is when one of them takes a
-// request again. Callers are told different times, at the rate at which the replicas take
-// requests, divided by the number of hosts.
+// replicas of a service have reached their limits or wait; soonest is when one of them takes
+// a request again. Callers are told different times, at the rate at which the replicas take
+// requests, divided by the number of hosts. Replicas that only wait name no rate; the times
+// are random then.
 func (l *Limiter) ReturnAfter(service string, replicas []string, soonest time.Duration, now time.Time) time.Duration {
 	rate := lo.SumBy(replicas, func(replica string) float64 {
 		r, _ := l.limits.Rate(replica, now)
 		return r
 	})
+	if rate == 0 {
+		return soonest + rand.N(waitReturns)
+	}
 	step := float64(time.Second) * float64(max(l.hosts.Size(), 1)) / max(rate, minRate)
 	return l.returns.next(service, now.Add(soonest), time.Duration(step), now)
 }
