--- a/replica/list.go
+++ b/replica/list.go
@@ -104,6 +104,8 @@
 	lastRemoved map[string]time.Time
 	// removed holds the entries that were removed within removedMemory, by ID.
 	removed map[string]removedEntry
+	// leaving holds the incarnations that have announced in an answer that they leave.
+	leaving leavingSet
 
 	view atomic.Pointer[View]
 }
@@ -124,7 +126,7 @@
 
 // NewList returns an empty list.
 func NewList(gracePeriod time.Duration) *List {
-	l := &List{gracePeriod: gracePeriod, entries: map[string]Replica{}, graceEnds: map[string]time.Time{}, lastRemoved: map[string]time.Time{}, removed: map[string]removedEntry{}}
+	l := &List{gracePeriod: gracePeriod, entries: map[string]Replica{}, graceEnds: map[string]time.Time{}, lastRemoved: map[string]time.Time{}, removed: map[string]removedEntry{}, leaving: leavingSet{}}
 	l.view.Store(&View{})
 	return l
 }
@@ -292,7 +294,11 @@
 		}
 		v.byAddress[r.Address] = r
 	}
-	for _, r := range v.byAddress {
+	for address, r := range v.byAddress {
+		if l.leaving.has(r) {
+			r.Draining = true
+			v.byAddress[address] = r
+		}
 		if r.Draining {
 			v.draining[r.Service] = append(v.draining[r.Service], r)
 			continue
