platform, hosted: leaving and waits that replicas name in their answers

Callers' requests reached replicas that had said in an answer to the same host that they leave, and replicas that had refused with Retry-After got every further request at once. Cause: no code read either header. Answers, failures, refusals, reports and replies to orders do now, if they are the replica's own (signed, or stated as not run; not 421).

A wait binds this host only; one that is named on a relayed connection is told to the relaying host, which the replica takes for the sender, and a host does not relay to a replica that it waits for itself.

The native protocol names no waits; its leaving refusals were read and shared before.

--- a/daemon/hosted/dialer.go
+++ b/daemon/hosted/dialer.go
@@ -26,7 +26,18 @@
 	})
 }
 
+// relayedConn is a connection to a replica through another host.
+type relayedConn struct {
+	net.Conn
+	// via is the address of that host.
+	via string
+}
+
 // dialVia opens a connection to a replica through another host.
 func (h *Host) dialVia(ctx context.Context, host, address string, lifetime time.Duration) (net.Conn, error) {
-	return h.feed.node.Relay(ctx, host, peer.RelayRequest{Address: address, LifetimeMS: lifetime.Milliseconds()})
+	conn, err := h.feed.node.Relay(ctx, host, peer.RelayRequest{Address: address, LifetimeMS: lifetime.Milliseconds()})
+	if err != nil {
+		return nil, err
+	}
+	return relayedConn{Conn: conn, via: host}, nil
 }
--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -36,7 +36,7 @@
 	retransmitFactor = 2
 )
 
-// findings shares what crashes replicas, and their limits, among the hosts. It sends new ones at
+// findings shares what crashes replicas, and what replicas say of themselves, among the hosts. It sends new ones at
 // once; hosts that missed them get them when digests are compared.
 type findings struct {
 	host  *Host
@@ -86,7 +86,7 @@
 func (f *findings) apply(_ context.Context, items []gossip.Item, _ string) {
 	now := time.Now()
 	for _, i := range items {
-		if i.Key == configKey || f.host.limits.Merge(i, now) {
+		if i.Key == configKey || (replicaStates{f.host}).merge(i, now) {
 			continue
 		}
 		finding, ok := quarantine.ParseItem(i)
--- a/daemon/hosted/limits.go
+++ b/daemon/hosted/limits.go
@@ -36,8 +36,8 @@
 // Size implements ratelimit.Hosts.
 func (l limitHosts) Size() int { return l.host.group.size() }
 
-// publishLimit announces a limit to the other hosts.
-func (h *Host) publishLimit(i gossip.Item) {
+// publishItem announces the state of a replica to the other hosts.
+func (h *Host) publishItem(i gossip.Item) {
 	h.findings.table.Put(i, time.Now())
 	h.findings.signal()
 }
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -57,10 +57,7 @@
 	}
 	h.group = newGroup(h, identity.pin)
 	h.dialer = newDialer(h, do.MustInvoke[DirectDial](i))
-	h.connector = relay.NewConnector(h.dialer, func(address string) bool {
-		_, listed := h.replicas.View().ByAddress(address)
-		return listed
-	})
+	h.connector = relay.NewConnector(h.dialer, h.acceptsRelayed)
 	if h.feed, err = newFeedRelay(h, identity); err != nil {
 		return nil, err
 	}
@@ -70,9 +67,9 @@
 	h.quarantine = quarantine.New(quarantine.Options{
 		UnprovenCrashLimit: unprovenCrashLimit, HoldDelay: rand.N(maxHoldDelay), Publish: h.findings.publish, Log: h.log,
 	})
-	h.limits = ratelimit.NewLimits(h.publishLimit, h.log)
+	h.limits = ratelimit.NewLimits(h.publishItem, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
-	h.replicaClient = platform.ReplicaClient{Limits: h.limits, Dial: h.dialer.Dial}
+	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
--- a/relay/connector.go
+++ b/relay/connector.go
@@ -14,15 +14,15 @@
 // Connector connects to replicas for other hosts. It is safe for concurrent use.
 type Connector struct {
 	dialer *Dialer
-	// listed reports whether a replica is listed at an address.
-	listed  func(address string) bool
+	// accepts reports whether a replica at an address accepts connections of this host.
+	accepts func(address string) bool
 	relayed atomic.Int64
 	stopped atomic.Bool
 }
 
-// NewConnector returns a connector to the replicas for which listed returns true.
-func NewConnector(d *Dialer, listed func(address string) bool) *Connector {
-	return &Connector{dialer: d, listed: listed}
+// NewConnector returns a connector to the replicas for which accepts returns true.
+func NewConnector(d *Dialer, accepts func(address string) bool) *Connector {
+	return &Connector{dialer: d, accepts: accepts}
 }
 
 // Relayed returns the number of connections that are relayed for other hosts now.
@@ -37,7 +37,7 @@
 	if c.stopped.Load() {
 		return nil, &Error{Op: "connect", Kind: KindBusy}
 	}
-	if !c.listed(address) {
+	if !c.accepts(address) {
 		return nil, &Error{Op: "connect", Kind: KindUnreachable}
 	}
 	if c.relayed.Add(1) > maxRelayed {
