control: one cost for domains, fleet and losses; targets by domain

Cause: each domain was filled by itself, all left out the same layers, and the fleet counted only once it covered everything. On the further site the layers 25 to 71 had 3 engines of 38 and the layers 0 to 20 six to eight, so one loss left a layer with one.

Each domain that can hold all layers gets a copy, with a target capacity of its own; the others follow a target of the fleet; what remains goes where it lowers the cost most, also after the loss of an engine or a domain. Repair may load layers beside those that an engine serves.

--- a/control/cover.go
+++ b/control/cover.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/ingress"
 	"bulrushshed/route"
 )
@@ -25,252 +26,209 @@
 	Layers route.Range
 }
 
-// capacitySteps are the candidates for the KV-cache capacity of each engine, in
-// tokens summed over all streams. The largest is used that leaves enough engines
-// to cover the layers.
-var capacitySteps = []float64{100_000, 75_000, 50_000, 30_000, 15_000, 5_000}
-
-const (
-	// domainCopies is the number of copies of all layers that each failure
-	// domain should hold. If that is not possible, fleetCopies is the number
-	// that all domains together should hold.
-	domainCopies = 1.1
-	fleetCopies  = 2.0
-	// fleetWeight is the weight of a layer's shortage in the whole fleet
-	// relative to its shortage in one failure domain. It is greater because a
-	// layer that is short in the whole fleet limits every stream.
-	fleetWeight = 8
-	// shortageExponent determines how quickly the shortage of a layer falls as
-	// its capacity grows. The higher it is, the more an uncovered layer counts
-	// relative to a covered one.
-	shortageExponent = 3
-)
+// improvePasses is the number of times that each assignment is tried at all other layers.
+const improvePasses = 3
 
-// Cover assigns layers to the free engines, starting with the largest.
+// Cover assigns layers to the free engines.
 //
-// It covers each failure domain separately, because the links between domains
-// are shared by all streams. An engine gets as many layers as leave it the target
-// KV-cache capacity, and of all such ranges the one with the greatest shortage of
-// capacity in its domain. Some of the smallest engines get the first layers before that
-// (see entryEngines).
+// Each engine gets as many layers as leave it the target KV-cache capacity, and of all such
+// ranges the one that reduces the cost of the coverage most (see coverage): the largest
+// engines first, and then each of them again, given the others. Before that, some of the
+// smallest engines get the first layers (see entryEngines), and each failure domain that can
+// hold all layers gets one copy. If layers are left without any engine, those are assigned
+// first, if necessary with less room for KV caches.
 func Cover(m *ingress.Model, placements []Placement) []Assignment {
-	c := newCoverage(m, placements)
+	free := freeEngines(placements)
+	if len(free) == 0 {
+		return nil
+	}
+	t := newTargets(m, placements)
+	first := newAssigner(m, placements, free, t).assign()
+	if CoversAll(m, apply(placements, first)) {
+		return first
+	}
+	for _, limit := range lowerTargets(placements) {
+		a := newAssigner(m, placements, free, t.atMost(limit))
+		a.fillGaps(free, placements)
+		if assignments := a.assign(); CoversAll(m, apply(placements, assignments)) {
+			return assignments
+		}
+	}
+	return first
+}
+
+// freeEngines returns the engines without layers, the largest first.
+func freeEngines(placements []Placement) []Placement {
 	var free []Placement
 	for _, p := range placements {
-		if p.Layers.Len() > 0 {
-			c.add(p, p.Layers)
-			continue
+		if p.Layers.Len() <= 0 {
+			free = append(free, p)
 		}
-		free = append(free, p)
 	}
-	c.coversAll = CoversAll(m, placements)
 	slices.SortFunc(free, func(a, b Placement) int {
 		return cmp.Or(cmp.Compare(b.Accelerator.MemoryMB, a.Accelerator.MemoryMB), cmp.Compare(a.ID, b.ID))
 	})
-	var assignments []Assignment
-	assign := func(p Placement, r route.Range) {
-		c.add(p, r)
-		assignments = append(assignments, Assignment{ID: p.ID, Layers: r})
-	}
-	entries := map[string]bool{}
-	for _, p := range c.entryEngines(placements, free) {
-		entries[p.ID] = true
-		assign(p, route.Range{To: c.layersFor(p.Accelerator)})
-	}
-	for _, p := range free {
-		if n := c.layersFor(p.Accelerator); n > 0 && !entries[p.ID] {
-			assign(p, c.scarcestRange(p.FailureDomain, n))
-		}
-	}
-	return assignments
+	return free
 }
 
-// minRepairGain is the reduction in shortage that justifies moving an engine. It
-// is roughly the number of uncovered layers that the engine must take over.
-const minRepairGain = 2.5
-
-// Repair returns the move of an engine in service that best reduces the shortage
-// of capacity in its failure domain. ok is false if no move reduces it by more than
-// minRepairGain. Engines for which movable returns false stay where they are.
-func Repair(m *ingress.Model, placements []Placement, movable func(id string) bool) (a Assignment, ok bool) {
-	c := newCoverage(m, placements)
-	for _, p := range placements {
-		if p.Layers.Len() > 0 {
-			c.add(p, p.Layers)
-		}
+// apply returns the placements after the assignments.
+func apply(placements []Placement, assignments []Assignment) []Placement {
+	layers := make(map[string]route.Range, len(assignments))
+	for _, a := range assignments {
+		layers[a.ID] = a.Layers
 	}
-	bestGain := minRepairGain
-	for _, p := range placements {
-		n := p.Layers.Len()
-		if n <= 0 || !movable(p.ID) {
-			continue
-		}
-		before := c.shortage(p.FailureDomain)
-		c.remove(p, p.Layers)
-		r := c.scarcestRange(p.FailureDomain, n)
-		c.add(p, r)
-		if gain := before - c.shortage(p.FailureDomain); gain > bestGain {
-			bestGain, ok = gain, true
-			a = Assignment{ID: p.ID, Layers: r}
+	all := slices.Clone(placements)
+	for i := range all {
+		if r, ok := layers[all[i].ID]; ok {
+			all[i].Layers = r
 		}
-		c.remove(p, r)
-		c.add(p, p.Layers)
 	}
-	return a, ok
+	return all
 }
 
-// PlannedLoss reports whether layers are missing only because engines are
-// draining. Draining engines do not come back, so there is no point in waiting
-// for them.
-func PlannedLoss(m *ingress.Model, placements, draining []Placement) bool {
-	_, otherLoss := Repair(m, slices.Concat(placements, draining), func(string) bool { return true })
-	return !otherLoss
+// assigner assigns layers to free engines at one target capacity.
+type assigner struct {
+	coverage   *coverage
+	placements []Placement
+	// free has the engines to assign, the largest first. fixed has the IDs of those that
+	// have their layers for another reason than the cost.
+	free     []Placement
+	fixed    map[string]bool
+	assigned map[string]route.Range
 }
 
-// CoversAll reports whether the engines together hold all layers.
-func CoversAll(m *ingress.Model, placements []Placement) bool {
-	held := make([]bool, m.Layers)
-	for _, p := range placements {
-		for l := max(p.Layers.From, 0); l < min(p.Layers.To, m.Layers); l++ {
-			held[l] = true
-		}
+func newAssigner(m *ingress.Model, placements, free []Placement, t targets) *assigner {
+	return &assigner{
+		coverage: newCoverage(m, placements, t), placements: placements, free: free,
+		fixed: map[string]bool{}, assigned: map[string]route.Range{},
 	}
-	return !slices.Contains(held, false)
 }
 
-// coverage tracks the KV-cache capacity for each layer, in tokens. The capacity of
-// an engine is its number of KV cells, each for one token in one layer, divided by
-// its number of layers.
-type coverage struct {
-	model *ingress.Model
-	// capacity holds the capacity of each layer, by failure domain.
-	capacity map[string][]float64
-	// fleetCapacity is the capacity of all domains together. It is considered
-	// only if coversAll is set, that is, if the engines in service hold all layers
-	// when free engines are assigned layers. It is not considered during the first
-	// placement.
-	fleetCapacity []float64
-	coversAll     bool
-	// targetCapacity is the KV-cache capacity that each engine should have.
-	targetCapacity float64
+func (a *assigner) set(p Placement, r route.Range) {
+	a.coverage.add(p, r)
+	a.assigned[p.ID] = r
 }
 
-func newCoverage(m *ingress.Model, placements []Placement) *coverage {
-	c := &coverage{model: m, capacity: map[string][]float64{}, fleetCapacity: make([]float64, m.Layers)}
-	for _, p := range placements {
-		if c.capacity[p.FailureDomain] == nil {
-			c.capacity[p.FailureDomain] = make([]float64, m.Layers)
-		}
+// fillGaps assigns the layers that no engine holds, from the first to the last.
+func (a *assigner) fillGaps(free, placements []Placement) {
+	for _, p := range a.tile(free, placements) {
+		a.fixed[p.ID] = true
 	}
-	c.targetCapacity = c.chooseTarget(placements)
-	return c
 }
 
-// chooseTarget returns the lower quartile of the capacities of the engines in
-// service, but at least the smallest of capacitySteps. If no engine is in service,
-// it returns the largest step at which the engines hold enough copies of the layers,
-// or else the smallest one.
-func (c *coverage) chooseTarget(placements []Placement) float64 {
-	var capacities []float64
-	for _, p := range placements {
-		if n := p.Layers.Len(); n > 0 {
-			capacities = append(capacities, c.model.KVCells(p.Accelerator, n)/float64(n))
+// tile assigns the layers that no engine of the placements holds, from the first to the
+// last, to free engines. It returns those that it has used.
+func (a *assigner) tile(free, placements []Placement) (used []Placement) {
+	held := heldLayers(a.coverage.model, placements)
+	for _, p := range free {
+		from := slices.Index(held, false)
+		n := a.coverage.layersOf(p)
+		if from < 0 {
+			break
 		}
-	}
-	if len(capacities) > 0 {
-		slices.Sort(capacities)
-		return max(capacities[len(capacities)/4], capacitySteps[len(capacitySteps)-1])
-	}
-	for _, enough := range []func(least, all float64) bool{
-		func(least, _ float64) bool { return least >= domainCopies },
-		func(_, all float64) bool { return all >= fleetCopies },
-	} {
-		for _, target := range capacitySteps {
-			if least, all := c.copies(placements, target); enough(least, all) {
-				return target
-			}
+		if n == 0 {
+			continue
 		}
+		from = min(from, len(held)-n)
+		for l := from; l < from+n; l++ {
+			held[l] = true
+		}
+		a.set(p, route.Range{From: from, To: from + n})
+		used = append(used, p)
 	}
-	return capacitySteps[len(capacitySteps)-1]
+	return used
 }
 
-// copies returns how many copies of all layers fit into the smallest failure
-// domain, and into all domains together, if each engine has the target capacity.
-func (c *coverage) copies(placements []Placement, target float64) (least, all float64) {
-	byDomain := map[string]float64{}
-	for _, p := range placements {
-		n := float64(layersThatFit(c.model, p.Accelerator, target)) / float64(c.model.Layers)
-		byDomain[p.FailureDomain] += n
-		all += n
-	}
-	least = math.Inf(1)
-	for _, n := range byDomain {
-		least = min(least, n)
+// tileDomains lets each failure domain without engines in service that can hold all layers do
+// so.
+func (a *assigner) tileDomains() {
+	domains := lo.GroupBy(a.placements, func(p Placement) string { return p.FailureDomain })
+	for domain := range a.coverage.targets.byDomain {
+		if slices.ContainsFunc(domains[domain], func(p Placement) bool { return p.Layers.Len() > 0 }) {
+			continue
+		}
+		free := lo.Filter(a.unassigned(), func(p Placement, _ int) bool { return p.FailureDomain == domain })
+		placed := lo.Map(domains[domain], func(p Placement, _ int) Placement {
+			p.Layers = a.assigned[p.ID]
+			return p
+		})
+		a.tile(free, placed)
 	}
-	return least, all
 }
 
-// layersFor returns the number of layers to assign to an engine.
-func (c *coverage) layersFor(a ingress.Accelerator) int {
-	return layersThatFit(c.model, a, c.targetCapacity)
+// assign assigns all free engines and returns the assignments.
+func (a *assigner) assign() []Assignment {
+	for _, p := range a.coverage.entryEngines(a.placements, a.unassigned()) {
+		a.fixed[p.ID] = true
+		a.set(p, route.Range{To: a.coverage.layersOf(p)})
+	}
+	a.tileDomains()
+	for _, p := range a.unassigned() {
+		if n := a.coverage.layersOf(p); n > 0 {
+			a.set(p, a.coverage.bestRange(p, n))
+		}
+	}
+	for range improvePasses {
+		if !a.improve() {
+			break
+		}
+	}
+	assignments := make([]Assignment, 0, len(a.assigned))
+	for _, p := range a.free {
+		if r, ok := a.assigned[p.ID]; ok {
+			assignments = append(assignments, Assignment{ID: p.ID, Layers: r})
+		}
+	}
+	return assignments
 }
 
-func layersThatFit(m *ingress.Model, a ingress.Accelerator, target float64) int {
-	perLayer := m.LayerMB + target*m.KVTokenMB/float64(m.Layers)
-	return min(int(a.MemoryMB/perLayer), m.Layers)
+func (a *assigner) unassigned() []Placement {
+	return slices.DeleteFunc(slices.Clone(a.free), func(p Placement) bool {
+		_, ok := a.assigned[p.ID]
+		return ok
+	})
 }
 
-func (c *coverage) add(p Placement, r route.Range) { c.update(p, r, 1) }
-
-func (c *coverage) remove(p Placement, r route.Range) { c.update(p, r, -1) }
-
-func (c *coverage) update(p Placement, r route.Range, sign float64) {
-	delta := sign * c.model.KVCells(p.Accelerator, r.Len()) / float64(r.Len())
-	for l := max(r.From, 0); l < min(r.To, c.model.Layers); l++ {
-		c.capacity[p.FailureDomain][l] += delta
-		c.fleetCapacity[l] += delta
+// improve tries each engine at other layers, and reports whether any was assigned others. One
+// that is fixed needs as good a reason as a repair.
+func (a *assigner) improve() bool {
+	improved := false
+	for _, p := range a.free {
+		r, ok := a.assigned[p.ID]
+		if !ok {
+			continue
+		}
+		least := minImprovement
+		if a.fixed[p.ID] {
+			least = minRepairGain
+		}
+		a.coverage.remove(p, r)
+		best := a.coverage.bestRange(p, r.Len())
+		if best != r && a.coverage.gain(p, best) > a.coverage.gain(p, r)+least {
+			improved = true
+			r = best
+		}
+		a.set(p, r)
 	}
+	return improved
 }
 
-// shortage returns the sum of the shortages of all layers in a failure domain. The
-// shortage of a layer is 1 if no engine in the domain holds it, and approaches 0
-// as its capacity grows. If coversAll is set, the shortage of the layer in the whole
-// fleet adds to it.
-func (c *coverage) shortage(domain string) float64 {
-	sum := 0.0
-	for l := range c.model.Layers {
-		sum += c.layerShortage(domain, l)
-	}
-	return sum
-}
+// minImprovement is the reduction in cost that counts as an improvement. It exceeds rounding
+// errors.
+const minImprovement = 1e-6
 
-func (c *coverage) layerShortage(domain string, l int) float64 {
-	shortage := func(capacity float64) float64 {
-		return math.Pow(1+max(capacity, 0)/c.targetCapacity, -shortageExponent)
-	}
-	sum := shortage(c.capacity[domain][l])
-	if c.coversAll {
-		sum += fleetWeight * shortage(c.fleetCapacity[l])
-	}
-	return sum
+// CoversAll reports whether the engines together hold all layers.
+func CoversAll(m *ingress.Model, placements []Placement) bool {
+	return !slices.Contains(heldLayers(m, placements), false)
 }
 
-// scarcestRange returns the range of n layers with the greatest shortage in a
-// failure domain.
-func (c *coverage) scarcestRange(domain string, n int) route.Range {
-	shortage := make([]float64, c.model.Layers)
-	for l := range shortage {
-		shortage[l] = c.layerShortage(domain, l)
-	}
-	best, highest := 0, -1.0
-	for from := 0; from+n <= c.model.Layers; from++ {
-		sum := 0.0
-		for _, s := range shortage[from : from+n] {
-			sum += s
-		}
-		if sum > highest*(1+1e-9) {
-			best, highest = from, sum
+// heldLayers reports for each layer whether an engine holds it.
+func heldLayers(m *ingress.Model, placements []Placement) []bool {
+	held := make([]bool, m.Layers)
+	for _, p := range placements {
+		for l := max(p.Layers.From, 0); l < min(p.Layers.To, m.Layers); l++ {
+			held[l] = true
 		}
 	}
-	return route.Range{From: best, To: best + n}
+	return held
 }
--- a/control/doc.go
+++ b/control/doc.go
@@ -12,9 +12,10 @@
 // [Tracker] adds the orders that the reports do not show yet.
 //
 // [Cover] and [Repair] place the layers of one model on engines in several failure
-// domains. Cover assigns layers to free engines so that each domain holds all of
-// them, and Repair moves an engine to layers that its domain has lost. A
-// [RepairTimer] delays repairs, because most engines that crash come back.
+// domains, both by the same cost: the shortage of capacity in each domain and in the whole
+// fleet, now and after a loss. Cover assigns layers to free engines, and Repair changes an
+// engine in service, which may load layers beside its own. A [RepairTimer] delays changes,
+// because most engines that crash come back.
 //
 // It is up to the caller to ensure that only the holder of the lease gives orders,
 // and to send them with its fencing token.
--- a/control/entry.go
+++ b/control/entry.go
@@ -22,7 +22,7 @@
 	wanted := c.wantedEntries(placements)
 	var chosen []Placement
 	for _, p := range slices.Backward(free) {
-		if wanted[p.FailureDomain] > 0 && c.layersFor(p.Accelerator) > 0 {
+		if wanted[p.FailureDomain] > 0 && c.layersOf(p) > 0 {
 			wanted[p.FailureDomain]--
 			chosen = append(chosen, p)
 		}
@@ -36,10 +36,7 @@
 	type domain struct{ engines, entries, layers, smallest int }
 	domains := map[string]*domain{}
 	for _, p := range placements {
-		n := p.Layers.Len()
-		if n <= 0 {
-			n = c.layersFor(p.Accelerator)
-		}
+		n := c.layersOf(p)
 		if n == 0 {
 			continue
 		}
