control: domains are tiled by their smallest engines first; no repair lowers the scarcest layer

Tiled by the smallest engines first, the largest engine holds layers that others of its domain hold, too.

--- a/control/cover.go
+++ b/control/cover.go
@@ -140,7 +140,8 @@
 }
 
 // tileDomains lets each failure domain without engines in service that can hold all layers do
-// so.
+// so. It uses the smallest engines first: the layers of larger ones are then held twice, and
+// streams that lose a large engine go on with others of their domain.
 func (a *assigner) tileDomains() {
 	domains := lo.GroupBy(a.placements, func(p Placement) string { return p.FailureDomain })
 	for domain := range a.coverage.targets.byDomain {
@@ -152,6 +153,7 @@
 			p.Layers = a.assigned[p.ID]
 			return p
 		})
+		slices.Reverse(free)
 		a.tile(free, placed)
 	}
 }
--- a/control/fleets_test.go
+++ b/control/fleets_test.go
@@ -1,7 +1,9 @@
 package control_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -62,6 +64,12 @@
 			}
 		}
 	}
+	return sorted(fleet)
+}
+
+// sorted returns a fleet in an order that does not depend on that of a map.
+func sorted(fleet []control.Placement) []control.Placement {
+	slices.SortFunc(fleet, func(a, b control.Placement) int { return cmp.Compare(a.ID, b.ID) })
 	return fleet
 }
 
@@ -78,7 +86,7 @@
 		model   *ingress.Model
 		engines []control.Placement
 	}{
-		"three domains": {fleetModel, emptyFleet()},
+		"three domains": {fleetModel, sorted(emptyFleet())},
 		"few large engines": {unlike, fleetOf(unlike, map[string]map[string]int{
 			"a": {"large": 1, "small": 10, "middle": 4}, "b": {"large": 2, "small": 4, "middle": 4}, "c": {"large": 1, "small": 6, "middle": 6},
 		})},
@@ -143,7 +151,7 @@
 func restored(t *testing.T, m *ingress.Model, left []control.Placement, limit int) (repaired []control.Placement, rounds int) {
 	t.Helper()
 	for range 50 {
-		moves := control.Repairs(m, left, func(string) bool { return true }, limit)
+		moves := control.Repairs(m, left, func(string) bool { return true }, control.AnyChange, limit)
 		if len(moves) == 0 {
 			return left, rounds
 		}
--- a/control/repair.go
+++ b/control/repair.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 
 	"bulrushshed/ingress"
@@ -19,18 +20,33 @@
 	minExtendedCapacity = 0.25
 )
 
+// Changes are the kinds of changes that a repair may consist of.
+type Changes int
+
+// The kinds of changes.
+const (
+	// AnyChange allows engines to give up layers.
+	AnyChange Changes = iota
+	// Extensions only load layers beside those that engines hold.
+	Extensions
+)
+
 // Repair returns the change of an engine in service that reduces the cost of the coverage
 // most per layer that must be loaded: more layers beside those that it holds, or other ones.
 // ok is false if none reduces it by more than minExtensionGain or minRepairGain. Engines for
 // which movable returns false keep their layers.
 func Repair(m *ingress.Model, placements []Placement, movable func(id string) bool) (a Assignment, ok bool) {
+	return repair(m, placements, movable, AnyChange)
+}
+
+func repair(m *ingress.Model, placements []Placement, movable func(id string) bool, changes Changes) (a Assignment, ok bool) {
 	c := newCoverage(m, placements, newTargets(m, placements))
 	var best candidate
 	for _, p := range placements {
 		if p.Layers.Len() <= 0 || p.Layers.From < 0 || p.Layers.To > m.Layers || !movable(p.ID) {
 			continue
 		}
-		if found := c.bestChange(p); found.better(best) {
+		if found := c.bestChange(p, changes); found.better(best) {
 			best = found
 		}
 	}
@@ -39,12 +55,12 @@
 
 // Repairs returns up to limit changes as Repair does, each given those before it. No engine
 // is changed twice.
-func Repairs(m *ingress.Model, placements []Placement, movable func(id string) bool, limit int) []Assignment {
+func Repairs(m *ingress.Model, placements []Placement, movable func(id string) bool, changes Changes, limit int) []Assignment {
 	var all []Assignment
 	for len(all) < limit {
-		a, ok := Repair(m, apply(placements, all), func(id string) bool {
+		a, ok := repair(m, apply(placements, all), func(id string) bool {
 			return movable(id) && !slices.ContainsFunc(all, func(a Assignment) bool { return a.ID == id })
-		})
+		}, changes)
 		if !ok {
 			break
 		}
@@ -67,17 +83,19 @@
 }
 
 // bestChange returns the best change of one engine.
-func (c *coverage) bestChange(p Placement) (best candidate) {
-	held := c.gainWithout(p)
+func (c *coverage) bestChange(p Placement, changes Changes) (best candidate) {
+	held, scarcest := c.gainWithout(p), slices.Min(c.fleet)
 	c.remove(p, p.Layers)
 	defer c.add(p, p.Layers)
 	consider := func(r route.Range, least float64) {
 		found := candidate{Assignment: Assignment{ID: p.ID, Layers: r}, gain: c.gain(p, r) - held, loads: r.Len() - overlap(r, p.Layers)}
-		if found.gain > least && found.better(best) {
+		if found.gain > least && found.better(best) && c.scarcestWith(p, r) > scarcest-1 {
 			best = found
 		}
 	}
-	consider(c.bestRange(p, p.Layers.Len()), minRepairGain)
+	if changes == AnyChange {
+		consider(c.bestRange(p, p.Layers.Len()), minRepairGain)
+	}
 	least := minExtendedCapacity * c.targets.of(p.FailureDomain)
 	for n := p.Layers.Len() + 1; n <= c.model.Layers && c.capacityOf(p, n) >= least; n++ {
 		for from := max(p.Layers.To-n, 0); from <= min(p.Layers.From, c.model.Layers-n); from++ {
@@ -87,6 +105,20 @@
 	return best
 }
 
+// scarcestWith returns the capacity of the scarcest layer in the fleet if an engine also holds
+// a range. No change may lower it, since it limits all streams.
+func (c *coverage) scarcestWith(p Placement, r route.Range) float64 {
+	capacity := c.capacityOf(p, r.Len())
+	scarcest := math.Inf(1)
+	for l, fleet := range c.fleet {
+		if r.From <= l && l < r.To {
+			fleet += capacity
+		}
+		scarcest = min(scarcest, fleet)
+	}
+	return scarcest
+}
+
 // gainWithout returns by how much the cost falls by what an engine holds.
 func (c *coverage) gainWithout(p Placement) float64 {
 	c.remove(p, p.Layers)
--- a/control/repairtimer.go
+++ b/control/repairtimer.go
@@ -1,20 +1,28 @@
 package control
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// RepairDelay is how long layers must be missing before an engine is
 	// moved to cover them. Most engines that crash are back sooner than a move
 	// takes.
 	RepairDelay = 4 * time.Second
+	// ExtensionDelay is how long layers must be short before engines load them beside their
+	// own. That disturbs nothing, so it need not be certain that no engine comes back.
+	ExtensionDelay = 500 * time.Millisecond
 	// takeoverWindow is the time after a host has become the controller in
 	// which it assumes that missing layers were missing before.
 	takeoverWindow = time.Second
 )
 
-// RepairTimer delays repairs until layers have been missing for RepairDelay. The
+// RepairTimer delays repairs until layers have been missing for a while. The
 // zero value is ready to use for a host that has just become the controller.
 type RepairTimer struct {
+	// Delay is how long layers must be missing; 0 stands for RepairDelay.
+	Delay time.Duration
 	// controlSince is when the timer was first used, and missingSince when layers
 	// began to be missing; zero if none are.
 	controlSince time.Time
@@ -39,5 +47,5 @@
 			t.missingSince = lastLeave
 		}
 	}
-	return now.Sub(t.missingSince) >= RepairDelay
+	return now.Sub(t.missingSince) >= cmp.Or(t.Delay, RepairDelay)
 }
