--- a/ingress/config.go
+++ b/ingress/config.go
@@ -77,7 +77,11 @@
 	StepTime time.Duration
 	// TypicalAnswerTokens is the mean length of an answer in tokens.
 	TypicalAnswerTokens int
-	Accelerators        map[string]Accelerator
+	// LoadTime is the time to load the weights of all layers, while at most ConcurrentLoads
+	// engines load any. Both are 0 if they are not known.
+	LoadTime        time.Duration
+	ConcurrentLoads int
+	Accelerators    map[string]Accelerator
 }
 
 // Accelerator describes one kind of accelerator.
