pipeline: the links between failure domains are counted

Cause: a path across domains cost 8 ms, whatever the model sends there.

Now each host counts the transfers that it causes on its share of the link; a path across domains costs its transfer, and is not taken once 250 ms of transfers wait. New streams are refused at once then, and running ones are resumed in another domain, which sends nothing.

--- a/ingress/config.go
+++ b/ingress/config.go
@@ -81,7 +81,12 @@
 	// engines load any. Both are 0 if they are not known.
 	LoadTime        time.Duration
 	ConcurrentLoads int
-	Accelerators    map[string]Accelerator
+	// ActivationMB is the size in MB of the activations of one token between two engines, and
+	// DomainLinkMBps the bandwidth in MB/s between two failure domains, which all streams
+	// share. Both are 0 if they are not known.
+	ActivationMB   float64
+	DomainLinkMBps float64
+	Accelerators   map[string]Accelerator
 }
 
 // Accelerator describes one kind of accelerator.
@@ -107,6 +112,15 @@
 	return time.Duration(float64(m.StepTime) * a.Slowness / float64(m.Layers))
 }
 
+// TransferTime returns how long the activations of a number of tokens occupy the link between
+// two failure domains, or 0 if that is not known.
+func (m *Model) TransferTime(tokens int) time.Duration {
+	if m.DomainLinkMBps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) * m.ActivationMB / m.DomainLinkMBps * float64(time.Second))
+}
+
 // Customer is identified by the API key of its requests.
 type Customer struct {
 	Name string
--- a/pipeline/graphs.go
+++ b/pipeline/graphs.go
@@ -24,6 +24,8 @@
 	// has the addresses of the engines in the host's failure domain.
 	capacity map[string]float64
 	local    []string
+	// domains has the failure domain of each engine, by address.
+	domains map[string]string
 }
 
 type domainGraph struct {
@@ -46,7 +48,7 @@
 }
 
 func newServiceGraphs(v *replica.View, req PathRequest, domain string) *serviceGraphs {
-	graphs := &serviceGraphs{revision: v.Revision, model: req.Model, capacity: map[string]float64{}}
+	graphs := &serviceGraphs{revision: v.Revision, model: req.Model, capacity: map[string]float64{}, domains: map[string]string{}}
 	type domainVersion struct{ domain, version string }
 	var keys []domainVersion
 	byKey := map[domainVersion][]route.Holding{}
@@ -57,6 +59,7 @@
 			continue
 		}
 		h := holding(r, req.Service, req.Model.LayerTime(acc))
+		graphs.domains[r.Address] = r.FailureDomain
 		graphs.capacity[r.Address] = req.Model.KVCells(acc, r.Layers.Len())
 		if r.FailureDomain == domain {
 			graphs.local = append(graphs.local, r.Address)
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -12,8 +12,8 @@
 const (
 	// hopCost is the cost of each additional hop.
 	hopCost = 500 * time.Microsecond
-	// crossDomainCost is the cost of a link to another failure domain.
-	crossDomainCost = 8 * time.Millisecond
+	// minCrossDomainCost is the least cost of a link to another failure domain.
+	minCrossDomainCost = 8 * time.Millisecond
 	// remoteStartCost is the cost of a path that starts in another failure domain
 	// than the host's.
 	remoteStartCost = 25 * time.Millisecond
@@ -54,6 +54,7 @@
 	reports map[string]report
 	// graphs are those of the latest view, by service.
 	graphs map[string]*serviceGraphs
+	links  domainLinks
 }
 
 // NewPlanner returns a planner without streams.
@@ -84,30 +85,36 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	graphs := p.graphsFor(v, req)
+	if r, err = p.find(graphs, req, now); err != nil {
+		return route.Route{}, nil, err
+	}
+	p.occupyLinks(graphs, req, r, route.Route{}, now)
+	return r, p.reserve(r, req.Tokens), nil
+}
+
+// find returns the cheapest route for a stream.
+func (p *Planner) find(graphs *serviceGraphs, req PathRequest, now time.Time) (r route.Route, err error) {
 	p.expire(now)
 	for _, limit := range []float64{softUtilizationLimit, hardUtilizationLimit} {
-		r, err = p.cheapest(graphs, req, limit, now)
-		if err == nil {
-			return r, p.reserve(r, req.Tokens), nil
+		if r, err = p.cheapest(graphs, req, limit, now); err == nil {
+			return r, nil
 		}
 	}
-	return route.Route{}, nil, err
+	return route.Route{}, err
 }
 
 // HasPath reports whether a path exists for a stream.
 func (p *Planner) HasPath(v *replica.View, req PathRequest, now time.Time) bool {
-	_, release, err := p.Path(v, req, now)
-	if err != nil {
-		return false
-	}
-	release()
-	return true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, err := p.find(p.graphsFor(v, req), req, now)
+	return err == nil
 }
 
 // cheapest returns the cheapest path that keeps the utilization of every KV cache
 // below limit. It searches the host's own failure domain first, and skips the others
 // if remoteStartCost alone is at least the cost of the best path so far. It searches
-// paths across domains only if no domain has one.
+// paths across domains only if no domain has one and the links between them have time.
 func (p *Planner) cheapest(graphs *serviceGraphs, req PathRequest, limit float64, now time.Time) (route.Route, error) {
 	q := p.query(graphs, req, limit, now)
 	var best route.Route
@@ -128,6 +135,9 @@
 	if bestCost >= 0 {
 		return best, nil
 	}
+	if !p.links.allows(0, now) {
+		return route.Route{}, &route.Error{Op: "path", Kind: route.KindNoRoute, Reason: "no failure domain has a path, and the links between them are busy"}
+	}
 	var err error = &route.Error{Op: "path", Kind: route.KindNoRoute, Reason: "no engine holds layers of the service"}
 	for _, g := range graphs.byVersion {
 		var r route.Route
@@ -171,7 +181,7 @@
 	localHosts := float64(max(p.opts.LocalHosts(), 1))
 	remoteUtilization := sync.OnceValue(func() float64 { return p.localUtilization(graphs, localHosts) })
 	q := route.Query{
-		CrossDomainCost: float64(crossDomainCost),
+		CrossDomainCost: float64(crossDomainCost(req.Model, req.Tokens)),
 		CostModel: func(h *route.Holding) (route.CostModel, bool) {
 			if _, suspect := p.suspects[h.Address]; suspect || req.Avoid[h.Address] {
 				return route.CostModel{}, false
--- a/pipeline/reroute.go
+++ b/pipeline/reroute.go
@@ -25,8 +25,12 @@
 		}
 	}
 	err = &route.Error{Op: "reroute", Kind: route.KindNoRoute, Reason: "no engine holds layers of the service"}
+	if !p.links.allows(maxLinkWait, now) {
+		return route.Route{}, nil, &route.Error{Op: "reroute", Kind: route.KindNoRoute, Reason: "the links between failure domains are busy"}
+	}
 	for _, g := range graphs.byVersion {
 		if r, _, err = g.Cheapest(q); err == nil {
+			p.occupyLinks(graphs, req, r, old, now)
 			return r, p.reserve(r, req.Tokens), nil
 		}
 	}
