--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -32,7 +32,7 @@
 // Only the control loop uses it.
 type controller struct {
 	host   *Host
-	orders *orderBook
+	orders *orderTable
 	// fleets holds the state of each service's engines. It is cleared when this
 	// host does not hold the lease.
 	fleets map[string]*fleetState
@@ -42,7 +42,7 @@
 }
 
 func newController(h *Host) *controller {
-	return &controller{host: h, orders: newOrderBook(), fleets: map[string]*fleetState{}}
+	return &controller{host: h, orders: newOrderTable(), fleets: map[string]*fleetState{}}
 }
 
 // fleetState tracks a service's engines while this host holds the lease.
@@ -188,7 +188,7 @@
 func (c *controller) placeFree(ctx context.Context, fl fleet, assignments []control.Assignment, fence int64) {
 	c.forEach(assignments, func(a control.Assignment) {
 		r := fl.byID[a.ID]
-		c.order(ctx, fl.service.Model, order{replica: r, layers: a.Layers, fence: fence, startedOrders: c.orders.startedOrders(r), reason: "free"})
+		c.submit(ctx, fl.service.Model, order{replica: r, layers: a.Layers, fence: fence, startedOrders: c.orders.startedOrders(r), reason: "free"})
 	})
 }
 
@@ -208,7 +208,7 @@
 			c.orders.postpone(r, time.Now())
 			return
 		}
-		c.order(ctx, m, order{replica: r, layers: a.Layers, fence: fence, startedOrders: report.Orders, reason: "repair"})
+		c.submit(ctx, m, order{replica: r, layers: a.Layers, fence: fence, startedOrders: report.Orders, reason: "repair"})
 	})
 }
 
--- a/daemon/hosted/orders.go
+++ b/daemon/hosted/orders.go
@@ -42,22 +42,22 @@
 	expires time.Time
 }
 
-// orderBook has the pending orders, by the engine's incarnation. It is safe for concurrent
+// orderTable has the pending orders, by the engine's incarnation. It is safe for concurrent
 // use.
-type orderBook struct {
+type orderTable struct {
 	mu     sync.Mutex
 	orders map[string]pendingOrder
 	// started has the orders that engines without layers have started, if not 0.
 	started map[string]int64
 }
 
-func newOrderBook() *orderBook {
-	return &orderBook{orders: map[string]pendingOrder{}, started: map[string]int64{}}
+func newOrderTable() *orderTable {
+	return &orderTable{orders: map[string]pendingOrder{}, started: map[string]int64{}}
 }
 
 // reconcile returns the layers that an engine holds or will hold; known is false if that is
 // not known. It drops an order whose result is listed.
-func (b *orderBook) reconcile(r replica.Replica, now time.Time) (layers route.Range, known bool) {
+func (b *orderTable) reconcile(r replica.Replica, now time.Time) (layers route.Range, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	o, pending := b.orders[r.Incarnation()]
@@ -71,19 +71,19 @@
 	return o.layers, o.known
 }
 
-func (b *orderBook) put(r replica.Replica, o pendingOrder) {
+func (b *orderTable) put(r replica.Replica, o pendingOrder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.orders[r.Incarnation()] = o
 }
 
 // postpone leaves an engine as it is for a moment.
-func (b *orderBook) postpone(r replica.Replica, now time.Time) {
+func (b *orderTable) postpone(r replica.Replica, now time.Time) {
 	b.put(r, pendingOrder{layers: r.Layers, known: true, expires: now.Add(askAgainAfter)})
 }
 
 // pending reports whether an engine has a pending order.
-func (b *orderBook) pending(r replica.Replica) bool {
+func (b *orderTable) pending(r replica.Replica) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, ok := b.orders[r.Incarnation()]
@@ -91,7 +91,7 @@
 }
 
 // loading returns the number of engines that load layers.
-func (b *orderBook) loading() (n int) {
+func (b *orderTable) loading() (n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range b.orders {
@@ -103,14 +103,14 @@
 }
 
 // startedOrders returns the number of orders that a free engine has started.
-func (b *orderBook) startedOrders(r replica.Replica) int64 {
+func (b *orderTable) startedOrders(r replica.Replica) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.started[r.Incarnation()]
 }
 
 // setStartedOrders records the number of orders that a free engine has started.
-func (b *orderBook) setStartedOrders(r replica.Replica, n int64) {
+func (b *orderTable) setStartedOrders(r replica.Replica, n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.started[r.Incarnation()] = n
@@ -120,7 +120,7 @@
 const maxStarted = 4096
 
 // expire drops old orders, including those to engines that are no longer listed.
-func (b *orderBook) expire(now time.Time) {
+func (b *orderTable) expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	maps.DeleteFunc(b.orders, func(_ string, o pendingOrder) bool { return !now.Before(o.expires) })
@@ -142,9 +142,9 @@
 // errNotPermitted means that an order was not sent, as the engine has reached its limit.
 var errNotPermitted = errors.New("engine takes no more requests for a moment")
 
-// order sends an order and records it. The engine's layers count as not known if it may
+// submit sends an order and records it. The engine's layers count as not known if it may
 // have received the order without accepting it.
-func (c *controller) order(ctx context.Context, m *ingress.Model, o order) {
+func (c *controller) submit(ctx context.Context, m *ingress.Model, o order) {
 	err := c.sendOrder(ctx, o)
 	r, now := o.replica, time.Now()
 	if errors.Is(err, errNotPermitted) {
--- a/daemon/hosted/replica_states.go
+++ b/daemon/hosted/replica_states.go
@@ -53,9 +53,9 @@
 		}
 		return true
 	}
-	if host, incarnation, wait, ok := ratelimit.ParseWaitItem(i); ok {
-		if host == s.host.cfg.PeerAddress {
-			s.host.limiter.RecordWait(incarnation, wait, now)
+	if w, ok := ratelimit.ParseWaitItem(i); ok {
+		if w.Host == s.host.cfg.PeerAddress {
+			s.host.limiter.RecordWait(w.Replica, w.Left, now)
 		}
 		return true
 	}
--- a/pipeline/link.go
+++ b/pipeline/link.go
@@ -47,7 +47,8 @@
 	}
 	for i := 1; i < len(r.Hops); i++ {
 		from, to := r.Hops[i-1], r.Hops[i]
-		if g.domains[from.Address] != g.domains[to.Address] && !(known[from] && known[to]) {
+		sent := known[from] && known[to]
+		if g.domains[from.Address] != g.domains[to.Address] && !sent {
 			n++
 		}
 	}
--- a/ratelimit/wait.go
+++ b/ratelimit/wait.go
@@ -121,13 +121,21 @@
 	return gossip.Item{Key: waitKeyPrefix + host + "/" + replica, Stamp: now.UnixMilli(), TTLMS: wait.Milliseconds()}
 }
 
-// ParseWaitItem returns the host and the replica of an item, and what is left of the wait;
-// ok is false for other items.
-func ParseWaitItem(i gossip.Item) (host, replica string, wait time.Duration, ok bool) {
+// Wait is the content of a WaitItem.
+type Wait struct {
+	// Host is the address of the host from which the replica wants no requests.
+	Host    string
+	Replica string
+	// Left is what is left of the wait.
+	Left time.Duration
+}
+
+// ParseWaitItem returns the wait that an item announces; ok is false for other items.
+func ParseWaitItem(i gossip.Item) (w Wait, ok bool) {
 	rest, ok := strings.CutPrefix(i.Key, waitKeyPrefix)
 	host, replica, found := strings.Cut(rest, "/")
 	if !ok || !found || host == "" || replica == "" {
-		return "", "", 0, false
+		return Wait{}, false
 	}
-	return host, replica, min(time.Duration(i.TTLMS)*time.Millisecond, maxWait), true
+	return Wait{Host: host, Replica: replica, Left: min(time.Duration(i.TTLMS)*time.Millisecond, maxWait)}, true
 }
--- a/ratelimit/wait_test.go
+++ b/ratelimit/wait_test.go
@@ -130,12 +130,10 @@
 	t.Parallel()
 	is := is.New(t)
 	i := ratelimit.WaitItem("10.0.0.1:7", "i1/5", 3*time.Second, time.Unix(9, 0))
-	host, replica, wait, ok := ratelimit.ParseWaitItem(i)
+	w, ok := ratelimit.ParseWaitItem(i)
 	is.True(ok)
-	is.Equal(host, "10.0.0.1:7")
-	is.Equal(replica, "i1/5")
-	is.Equal(wait, 3*time.Second)
+	is.Equal(w, ratelimit.Wait{Host: "10.0.0.1:7", Replica: "i1/5", Left: 3 * time.Second})
 	i.Key = "wait/x"
-	_, _, _, ok = ratelimit.ParseWaitItem(i)
+	_, ok = ratelimit.ParseWaitItem(i)
 	is.True(!ok)
 }
