hosted: the holder of the lease looks for repairs once per run while none is due

Now one search tells whether repairs are needed, and at most eight are looked for once they are due.

With it the delay of extensions starts again once nothing is missing; it went on before.

--- a/daemon/hosted/control.go
+++ b/daemon/hosted/control.go
@@ -23,6 +23,9 @@
 	// defaultConcurrentLoads is the number of engines that may load layers at a time if the
 	// configuration does not say it.
 	defaultConcurrentLoads = 4
+	// maxRepairsPerRun bounds the changes that one run of the control loop looks for, and so
+	// its processor time on a small host.
+	maxRepairsPerRun = 8
 	// maxExtendedUse is the utilization of an engine's KV cache up to which it may load
 	// further layers, which leave less room.
 	maxExtendedUse = 0.8
@@ -144,24 +147,27 @@
 	return fl
 }
 
-// dueRepairs returns the changes of engines in service that are due.
+// dueRepairs returns the changes of engines in service that are due. It looks for all of them
+// only then, as each takes a search through the whole fleet.
 func (c *controller) dueRepairs(fl fleet, state *fleetState, v *replica.View, now time.Time) []control.Assignment {
 	m, lastLeave := fl.service.Model, v.LastRemoved(fl.service.Name)
-	movable := func(id string) bool { return !c.orders.pending(fl.byID[id]) }
-	limit := cmp.Or(m.ConcurrentLoads, defaultConcurrentLoads) - c.orders.loading()
-	repairs := control.Repairs(m, fl.placements, movable, control.AnyChange, limit)
-	due := state.repairTimer.Observe(len(repairs) > 0, lastLeave, now)
-	if len(repairs) == 0 {
-		return nil
-	}
-	if due || control.PlannedLoss(m, fl.placements, toPlacements(m, v.Draining(fl.service.Name))) {
-		return repairs
+	find := func(changes control.Changes, limit int) []control.Assignment {
+		movable := func(id string) bool { return !c.orders.pending(fl.byID[id]) }
+		return control.Repairs(m, fl.placements, movable, changes, limit)
 	}
-	extensions := control.Repairs(m, fl.placements, movable, control.Extensions, limit)
-	if !state.extensionTimer.Observe(len(extensions) > 0, lastLeave, now) {
+	limit := min(cmp.Or(m.ConcurrentLoads, defaultConcurrentLoads)-c.orders.loading(), maxRepairsPerRun)
+	needed := len(find(control.AnyChange, 1)) > 0
+	due := state.repairTimer.Observe(needed, lastLeave, now)
+	switch {
+	case !needed:
+		state.extensionTimer.Observe(false, lastLeave, now)
 		return nil
+	case due || control.PlannedLoss(m, fl.placements, toPlacements(m, v.Draining(fl.service.Name))):
+		return find(control.AnyChange, limit)
+	case state.extensionTimer.Observe(len(find(control.Extensions, 1)) > 0, lastLeave, now):
+		return find(control.Extensions, limit)
 	}
-	return extensions
+	return nil
 }
 
 // toPlacements describes engines for placement, with the layers that they hold.
