--- a/pipeline/link.go
+++ b/pipeline/link.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/ingress"
 	"bulrushshed/route"
 )
@@ -30,12 +32,13 @@
 	return l.busyUntil.Sub(now) < maxLinkBacklog+wait
 }
 
-// occupy adds a transfer that takes the given time on the whole link, which hosts share.
-func (l *domainLinks) occupy(transfer time.Duration, hosts int, now time.Time) {
+// occupy adds a transfer that takes the given time on one of several links, which hosts
+// share.
+func (l *domainLinks) occupy(transfer time.Duration, hosts, links int, now time.Time) {
 	if l.busyUntil.Before(now) {
 		l.busyUntil = now
 	}
-	l.busyUntil = l.busyUntil.Add(transfer * time.Duration(max(hosts, 1)))
+	l.busyUntil = l.busyUntil.Add(transfer * time.Duration(max(hosts, 1)) / time.Duration(max(links, 1)))
 }
 
 // crossings returns the number of links between failure domains on a route, other than those
@@ -55,6 +58,9 @@
 	return n
 }
 
+// countDomains returns the number of failure domains with engines.
+func (g *serviceGraphs) countDomains() int { return len(lo.Uniq(lo.Values(g.domains))) }
+
 // crossDomainCost returns the cost of a link to another failure domain for a stream.
 func crossDomainCost(m *ingress.Model, tokens int) time.Duration {
 	if m == nil {
@@ -66,6 +72,6 @@
 // occupyLinks counts the activations of a stream on a path across failure domains.
 func (p *Planner) occupyLinks(graphs *serviceGraphs, req PathRequest, r, old route.Route, now time.Time) {
 	if n := graphs.crossings(r, old); n > 0 && req.Model != nil {
-		p.links.occupy(time.Duration(n)*req.Model.TransferTime(req.Tokens), p.opts.LocalHosts(), now)
+		p.links.occupy(time.Duration(n)*req.Model.TransferTime(req.Tokens), p.opts.LocalHosts(), graphs.countDomains()-1, now)
 	}
 }
