--- a/review/_rig/deployment.go
+++ b/review/_rig/deployment.go
@@ -42,6 +42,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	client  *http.Client
+	// maxFDs limits the descriptors of each process; 0 leaves them as they are.
+	maxFDs uint64
 }
 
 // host is an entry host, which is a process of the project's program.
@@ -207,6 +209,11 @@
 		return err
 	}
 	_ = log.Close()
+	if d.maxFDs > 0 {
+		if err := limitDescriptors(&host{cmd: cmd}, d.maxFDs); err != nil {
+			return err
+		}
+	}
 	ended := make(chan struct{})
 	h.cmd, h.ended = cmd, ended
 	go func() {
