--- a/review/_rig/descriptors.go
+++ b/review/_rig/descriptors.go
@@ -19,12 +19,12 @@
 	maxFDs = 4100
 	// newPerSecond requests open a connection each, and keptPerSecond come on connections
 	// that their clients keep. Together they are the rate of the sheet.
-	newPerSecond  = 56
-	keptPerSecond = 16.2
-	keptClients   = 60
+	newPerSecond  = 55
+	keptPerSecond = 17.2
+	keptClients   = 100
 	// slowReading is the time to the first event of a stream, within its objective of
 	// 500 ms.
-	slowReading = 450 * time.Millisecond
+	slowReading = 490 * time.Millisecond
 )
 
 // playDescriptors lets clients open connections and leave it to the host to close them
@@ -134,11 +134,15 @@
 	}
 }
 
+// streamTime is how long a stream of the stand-ins takes.
+const streamTime = slowReading + 72*20*time.Millisecond
+
 // keptClient sends streams on one connection.
 func (g *memoryGame) keptClient(n int) {
 	c := newClient()
 	front := ""
-	for g.pause(time.Duration(rand.Float64() * 2 * keptClients / keptPerSecond * float64(time.Second))) {
+	pause := keptClients/keptPerSecond - streamTime.Seconds()
+	for g.pause(time.Duration(rand.Float64() * 2 * pause * float64(time.Second))) {
 		if front = g.keepOrPick(front, zoneOf(n)); front != "" {
 			g.exchange(c, front, "POST", "/notes/2f", "prompt", 20*time.Second, notes(n))
 		}
--- a/review/_rig/memory.go
+++ b/review/_rig/memory.go
@@ -26,11 +26,12 @@
 	// users is the number of clients of the plain service. Each keeps one connection and
 	// sends a request each userInterval, which together makes the rates of the sheet:
 	// 5.41 confirmations and 3 stock checks per second.
-	users            = 90
-	userInterval     = 10700 * time.Millisecond
-	confirmShare     = 5.41 / (5.41 + 3)
-	streamClients    = 90
-	streamsPerSecond = 63.1
+	users        = 90
+	userInterval = 10700 * time.Millisecond
+	confirmShare = 5.41 / (5.41 + 3)
+	// streamClients send a stream each streamPause on average, beside the stream's own time.
+	streamClients = 90
+	streamPause   = 1430 * time.Millisecond
 	// restartDelay is the short delay after which a process that ended is started again.
 	restartDelay = 500 * time.Millisecond
 	// lostAllowed is how many requests may be lost.
@@ -179,7 +180,7 @@
 func (g *memoryGame) streamClient(n int) {
 	c := newClient()
 	front := ""
-	for g.pause(time.Duration(rand.Float64() * 2 * streamClients / streamsPerSecond * float64(time.Second))) {
+	for g.pause(time.Duration(rand.Float64() * 2 * float64(streamPause))) {
 		front = g.keepOrPick(front, zoneOf(n))
 		if front == "" {
 			continue
