ingress: require keys wherever the configuration lists customers

Cause: Authorize asked whether any customer has a key, not whether the configuration lists customers. With no key left it skipped the check of the key and that of the configuration's age. A configuration whose list of customers is empty was decoded like one without the list.

Config.KeysRequired now says that the list is present, which only the decoder can tell, and Authorize asks for that.

The limits of the configuration are not decoded yet.

--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -82,8 +82,9 @@
 			rule("unsafe", ingress.KindUnsafe, "plain", 2),
 			rule("once", ingress.KindUnsafe, "plain", 1),
 		},
-		Services:  []ingress.Service{{Name: "model", Model: model}, {Name: "plain"}},
-		Customers: []ingress.Customer{{Name: "ana", Keys: []string{key}}},
+		Services:     []ingress.Service{{Name: "model", Model: model}, {Name: "plain"}},
+		KeysRequired: true,
+		Customers:    []ingress.Customer{{Name: "ana", Keys: []string{key}}},
 	}
 }
 
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -17,10 +17,13 @@
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version   int64
-	Rules     []Rule
-	Services  []Service
-	Customers []Customer
+	Version  int64
+	Rules    []Rule
+	Services []Service
+	// KeysRequired is set if the configuration lists its customers, even if the list is
+	// empty or no customer has a key left. Requests then need an API key.
+	KeysRequired bool
+	Customers    []Customer
 }
 
 // Rule defines which services handle the requests for a host and path prefix,
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -15,6 +15,7 @@
 	rules          map[string]*Rule
 	services       map[string]*Service
 	customersByKey map[string]*Customer
+	keysRequired   bool
 }
 
 // NewTable compiles a configuration.
@@ -22,6 +23,7 @@
 	t := &Table{
 		Version: cfg.Version,
 		rules:   make(map[string]*Rule, len(cfg.Rules)), services: map[string]*Service{}, customersByKey: map[string]*Customer{},
+		keysRequired: cfg.KeysRequired,
 	}
 	for i := range cfg.Rules {
 		r := &cfg.Rules[i]
@@ -62,9 +64,6 @@
 	}
 }
 
-// HasKeys reports whether any customer has an API key.
-func (t *Table) HasKeys() bool { return len(t.customersByKey) > 0 }
-
 // PickService selects a service at random in proportion to the target weights.
 // It returns "" if all weights are zero.
 func (r *Rule) PickService() string {
@@ -113,10 +112,11 @@
 func (e *Error) Error() string { return fmt.Sprintf("ingress %s: %s", e.Op, e.Kind) }
 
 // Authorize returns the customer that owns an API key. It returns nil if no key
-// is needed, because the rule allows anonymous requests or no customer has a
-// key. If fresh is false, no key is accepted, since it may have been revoked.
+// is needed, because the rule allows anonymous requests or the configuration
+// requires no keys. If fresh is false, no key is accepted, since it may have been
+// revoked.
 func (t *Table) Authorize(r *Rule, key string, fresh bool) (*Customer, error) {
-	if r.AllowAnonymous || !t.HasKeys() {
+	if r.AllowAnonymous || !t.keysRequired {
 		return nil, nil
 	}
 	if !fresh {
--- a/ingress/table_test.go
+++ b/ingress/table_test.go
@@ -81,7 +81,7 @@
 
 func TestAuthorize(t *testing.T) {
 	t.Parallel()
-	table := ingress.NewTable(ingress.Config{Customers: []ingress.Customer{{Name: "ana", Keys: []string{"k1", "k2"}}}})
+	table := ingress.NewTable(ingress.Config{KeysRequired: true, Customers: []ingress.Customer{{Name: "ana", Keys: []string{"k1", "k2"}}}})
 	closed, open := &ingress.Rule{}, &ingress.Rule{AllowAnonymous: true}
 	for _, c := range []struct {
 		name     string
@@ -116,6 +116,34 @@
 	}
 }
 
+// Revoking the last key of the last customer must not open the rules to requests with
+// revoked or unknown keys. Without a list of customers no keys are needed.
+func TestRevokedKeysAreRejectedWhenNoneIsLeft(t *testing.T) {
+	t.Parallel()
+	closed, open := &ingress.Rule{}, &ingress.Rule{AllowAnonymous: true}
+	for _, c := range []struct {
+		name string
+		cfg  ingress.Config
+		want error
+	}{
+		{"customers without keys", ingress.Config{KeysRequired: true, Customers: []ingress.Customer{{Name: "ana"}}}, &ingress.Error{Op: "authorize", Kind: ingress.KindUnknownKey}},
+		{"no customer left", ingress.Config{KeysRequired: true}, &ingress.Error{Op: "authorize", Kind: ingress.KindUnknownKey}},
+		{"no list of customers", ingress.Config{}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			table := ingress.NewTable(c.cfg)
+			for _, key := range []string{"", "k1"} {
+				_, err := table.Authorize(closed, key, true)
+				is.Equal(err, c.want)
+			}
+			_, err := table.Authorize(open, "k1", true)
+			is.NoErr(err)
+		})
+	}
+}
+
 // A confirmation is valid for 5 s from the time at which its read was sent, not
 // from the time at which the response arrived.
 func TestFreshness(t *testing.T) {
