overload: process tests with clients outside the limits

The limits for clients that the operators do not control are not implemented yet. These tests state what must hold, for both dialects: the process is alive, its peak memory and its descriptors are within their bounds, and ordinary requests are answered.

The tests start bulrushd with low limits and set one kind of misbehaving client on it for 8 s, while two ordinary callers go on. No times and no shares are checked.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 shared := ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
 	./ingress ./ingresshttp ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica
 
-.PHONY: build demo up test race lint prove bench fuzz hosted
+.PHONY: build demo up test overload race lint prove bench fuzz hosted
 
 build:
 	mkdir -p bin
@@ -23,6 +23,11 @@
 test:
 	go test -count=1 $(skip) ./...
 
+# Runs the process tests with clients outside the published limits, one at a time.
+# "make test" skips them, as other load disturbs them.
+overload:
+	BULRUSHSHED_OVERLOAD=1 go test -count=1 -p 1 -timeout 20m $(skip) ./overload
+
 race:
 	go test -race -count=1 $(skip) $(shared)
 
