--- a/settings/host.go
+++ b/settings/host.go
@@ -26,6 +26,13 @@
 	StoreAddress     string `json:"store_address"`
 	// MemoryMB is the memory limit of the process.
 	MemoryMB int `json:"memory_mb"`
+	// RequestMemoryMB bounds the memory of callers' requests; 0 means a quarter of
+	// MemoryMB.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	// After BodyGrace, a request's body must have arrived at BodyBytesPerSecond on
+	// average.
+	BodyGrace          Duration `json:"body_grace"`
+	BodyBytesPerSecond int      `json:"body_bytes_per_second"`
 	// ProcessorShare is the processor time that the host may use, in cores, and
 	// LinkMbps the bandwidth of its link.
 	ProcessorShare float64 `json:"processor_share"`
@@ -50,10 +57,22 @@
 	return Host{
 		MemoryMB: 256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
+		BodyGrace: Duration(20 * time.Second), BodyBytesPerSecond: 16 << 10,
 		Log: Log{Format: "json", Level: "info"},
 	}
 }
 
+// requestMemoryShare is the default of RequestMemoryMB, as a part of MemoryMB.
+const requestMemoryShare = 4
+
+// RequestMemoryBytes returns the bound on the memory of requests in bytes.
+func (h Host) RequestMemoryBytes() int {
+	if h.RequestMemoryMB == 0 {
+		return h.MemoryMB << 20 / requestMemoryShare
+	}
+	return h.RequestMemoryMB << 20
+}
+
 // LoadHost reads and validates the settings file of a host on the platform.
 func LoadHost(path string) (Host, error) {
 	text, err := os.ReadFile(path)
@@ -89,6 +108,11 @@
 	c.address("peer_address", h.PeerAddress)
 	c.address("store_address", h.StoreAddress)
 	c.count("memory_mb", h.MemoryMB, maxCount)
+	if h.RequestMemoryMB != 0 {
+		c.count("request_memory_mb", h.RequestMemoryMB, h.MemoryMB)
+	}
+	c.positive("body_grace", h.BodyGrace)
+	c.count("body_bytes_per_second", h.BodyBytesPerSecond, maxBytes)
 	c.positive("revoke", h.Revoke)
 	c.positive("grace", h.Grace)
 	c.positive("addresses_valid_max", h.AddressesValidMax)
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -25,6 +25,36 @@
 	is.Equal(h.Name, "entry-1")
 	is.Equal(h.Revoke.D(), 5*time.Second)
 	is.Equal(h.Grace.D(), 8*time.Second) // the default
+	is.Equal(h.RequestMemoryBytes(), 71<<20)
+	is.Equal(h.BodyGrace.D(), 20*time.Second)
+	is.Equal(h.BodyBytesPerSecond, 16384)
+}
+
+// The bound on the memory of requests is a part of the host's memory, and a body must be
+// allowed some time and require some rate.
+func TestParseHostChecksRequestBounds(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ field, want string }{
+		{`"request_memory_mb": 40`, ""},
+		{`"request_memory_mb": -1`, `request_memory_mb: got "-1", want 1 to 284`},
+		{`"request_memory_mb": 285`, `request_memory_mb: got "285", want 1 to 284`},
+		{`"body_grace": "0s"`, `body_grace: got "0s", want a positive duration`},
+		{`"body_bytes_per_second": 0`, `body_bytes_per_second: got "0", want 1 to 67108864`},
+	} {
+		t.Run(c.field, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h, err := settings.ParseHost([]byte(strings.Replace(validHostSettings, `"memory_mb"`, c.field+`, "memory_mb"`, 1)))
+			if c.want == "" {
+				is.NoErr(err)
+				is.Equal(h.RequestMemoryBytes(), 40<<20)
+				return
+			}
+			var e *settings.Error
+			is.True(errors.As(err, &e))
+			is.Equal(strings.Join(e.Faults, "; "), c.want)
+		})
+	}
 }
 
 // All faults of a file must be reported, not only the first.
