--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 fuzz:
 	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
+	go test ./ingresshttp -run xxx -fuzz FuzzFraming -fuzztime 20s
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
 	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
 	go test ./quarantine -run xxx -fuzz FuzzParseItem -fuzztime 20s
