ingresshttp: bound the memory of requests, release it when they end

A host of 284 MB with 90 callers, each of which sends 4 MiB every 10.7 s on a connection that it keeps, exceeded its memory and was killed about every 12 s.

Cause: fasthttp kept the body buffer of each connection's largest request while the connection stayed open, the server cloned the body, and nothing bounded the bodies in memory.

The server now reads streamed bodies itself, into buffers that it reserves in the ledger first, and passes them on without a copy. ReduceMemoryUsage lets idle connections hold no buffers. The memory of a request, with its read buffer and its response, is released when the request ends.

- Announced and chunked bodies over the limit get 413, a header over the buffer 431 (400 before), a body below the minimum rate and a late header 408 (400 before), and a request without memory 503 with Retry-After.
- Requests without a rule and those with an unknown key get 404 or 401 before their body is read. fasthttp reads one byte of an announced body before it calls the handler, so the header is screened in HeaderReceived, which then ends that read soon.
- Up to 64 KiB of the rest of a body are discarded. fasthttp would go on behind a rest that it could not read, so other connections are closed, lingering.
- A body that ends before its length or its last chunk is not forwarded.
- fasthttp panics if the first read of a request returns neither a byte nor an error (found by FuzzFraming through net.Pipe), so watchedConn.Read does not.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -15,6 +15,7 @@
 
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/loop"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
@@ -84,6 +85,7 @@
 	dialer        *relay.Dialer
 	connector     *relay.Connector
 	meter         *meter.Meter
+	ledger        *intake.Ledger
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -13,6 +13,7 @@
 	"bulrushshed/forward"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/keys"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
@@ -70,9 +71,7 @@
 	h.limits = ratelimit.NewLimits(h.publishItem, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
-	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
-		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
-	}, stoppingForwarder{h, forward.New(forward.Dependencies{
+	next := stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Limiter:    h.limiter,
 		Links:      h.dialer,
@@ -82,7 +81,13 @@
 			StartedAt: time.Now(),
 		}),
 		Counter: h.meter, Log: h.log,
-	})})
+	})}
+	h.ledger = intake.NewLedger(cfg.RequestMemoryBytes())
+	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
+		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
+		Ledger: h.ledger, BodyPace: intake.Pace{Grace: cfg.BodyGrace.D(), BytesPerSecond: cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
+		Log: h.log,
+	}, next)
 	h.registerGauges()
 	return h, nil
 }
@@ -137,6 +142,9 @@
 		return age.Seconds()
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
+	h.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(h.ledger.Stats().Reserved) })
+	h.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(h.ledger.Stats().Capacity) })
+	h.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(h.ledger.Stats().Evicted) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -129,14 +129,9 @@
 	if t == nil {
 		return f.refuseUnrouted(req, "no_configuration")
 	}
-	rule := t.Match(req.Host, req.Target)
-	if rule == nil {
-		f.Log.Info("forward: request rejected", "request", req.ID, "cause", "no_rule", "config", t.Version)
-		return emptyResponse(http.StatusNotFound, 0)
-	}
-	customer, err := t.Authorize(rule, req.Key, fresh)
-	if err != nil {
-		return f.deny(req, t, err)
+	rule, customer, rejected := f.authorize(req, t, fresh)
+	if rejected != nil {
+		return rejected
 	}
 	c := &call{f: f, req: req, rule: rule, priority: rule.PriorityOf(customer), tried: map[string]bool{}}
 	if customer != nil {
@@ -158,6 +153,32 @@
 	return c.servePlain(ctx)
 }
 
+// Screen returns the response to a request that is rejected by its header alone, or nil. It
+// does not use the body.
+func (f *Forwarder) Screen(req *Request) *Response {
+	t, fresh := f.Tables.Table()
+	if t == nil {
+		return nil
+	}
+	_, _, rejected := f.authorize(req, t, fresh)
+	return rejected
+}
+
+// authorize returns the rule of a request and the customer that owns its key, which is nil
+// if the rule needs none, or the response with which the request is rejected.
+func (f *Forwarder) authorize(req *Request, t *ingress.Table, fresh bool) (*ingress.Rule, *ingress.Customer, *Response) {
+	rule := t.Match(req.Host, req.Target)
+	if rule == nil {
+		f.Log.Info("forward: request rejected", "request", req.ID, "cause", "no_rule", "config", t.Version)
+		return nil, nil, emptyResponse(http.StatusNotFound, 0)
+	}
+	customer, err := t.Authorize(rule, req.Key, fresh)
+	if err != nil {
+		return nil, nil, f.deny(req, t, err)
+	}
+	return rule, customer, nil
+}
+
 // awaitTable returns the configuration in force. A host receives it shortly after its
 // start, so a request waits for it instead of being refused.
 func (f *Forwarder) awaitTable(ctx context.Context) (t *ingress.Table, fresh bool) {
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -167,6 +167,11 @@
 				f := newFixture(10)
 				req := request("unsafe")
 				c.change(f, req)
+				// The header alone decides, except that a request waits for the first
+				// configuration.
+				screened := f.forwarder.Screen(req)
+				is.Equal(screened != nil, c.name != "no configuration")
+				is.True(screened == nil || screened.Status == c.status)
 				resp := f.forwarder.Do(t.Context(), req)
 				is.Equal(resp.Status, c.status)
 				// Another host can serve the request at once.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -258,6 +258,9 @@
 	return n, nil
 }
 
+// Pending returns the number of bytes of the current event that Read has not returned yet.
+func (s *stream) Pending() int { return len(s.pending) }
+
 // Close ends the stream if it has not ended.
 func (s *stream) Close() error {
 	if !s.ended {
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -27,8 +27,15 @@
 	net.Conn
 	// active is set while the connection has a request that is being read or answered.
 	active atomic.Bool
+	// memory is the account of the request. evicted is set when the ledger has ended its
+	// reading, and writeEvicted when it has ended the writing of the response.
+	memory       requestMemory
+	evicted      atomic.Bool
+	writeEvicted atomic.Bool
 
 	mu sync.Mutex
+	// lingering is set if the connection lingers before it is closed.
+	lingering chan struct{}
 	// readAhead is the byte that was read ahead, if hasReadAhead is set.
 	readAhead    [1]byte
 	hasReadAhead bool
@@ -36,7 +43,8 @@
 	readDone chan struct{}
 }
 
-// Read returns the byte that was read ahead, if any, before reading on.
+// Read returns the byte that was read ahead, if any, before reading on. It does not return
+// without a byte or an error, with which fasthttp's reader of the first byte panics.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.hasReadAhead && len(p) > 0 {
@@ -46,15 +54,21 @@
 		return 1, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+	}
 }
 
 // Write writes to the connection. The timeout applies to each write, as a stream may take
 // longer in total.
 func (c *watchedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
+	defer c.endWrite()
 	return c.Conn.Write(p)
 }
 
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -2,19 +2,22 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
-	"strconv"
+	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"bulrushshed/forward"
+	"bulrushshed/intake"
 )
 
 const (
@@ -26,8 +29,13 @@
 	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 8 << 20
+	// defaultRequestMemory is the capacity, in bytes, of the default ledger.
+	defaultRequestMemory = 64 << 20
 )
 
+// defaultBodyPace is wider than the 20 s that the whole body had before.
+var defaultBodyPace = intake.Pace{Grace: 20 * time.Second, BytesPerSecond: 16 << 10}
+
 // Forwarder serves requests. ctx is cancelled when the caller disconnects.
 type Forwarder interface {
 	Do(ctx context.Context, req *forward.Request) *forward.Response
@@ -39,12 +47,22 @@
 	// The server then sets the method, host, target, header fields, body and time of
 	// arrival.
 	DecodeHeader func(h *fasthttp.RequestHeader) forward.Request
+	// Screen returns the response to a request that is rejected by its header alone, before
+	// its body is read, or nil. It may be nil.
+	Screen func(req *forward.Request) *forward.Response
 	// IsForwarded reports whether a header field is forwarded to replicas.
 	IsForwarded func(name string) bool
 	// Stopping reports whether the host is stopping. If so, connections are
 	// closed after each response.
 	Stopping func() bool
-	Log      *slog.Logger
+	// Ledger bounds the memory of requests. If it is nil, a ledger with
+	// defaultRequestMemory is used.
+	Ledger *intake.Ledger
+	// BodyPace is the lowest rate of bodies. If it is zero, defaultBodyPace is used.
+	BodyPace intake.Pace
+	// CountRefusal counts a refused request by its cause. It may be nil.
+	CountRefusal func(cause string)
+	Log          *slog.Logger
 }
 
 // Server is the HTTP server for callers.
@@ -54,16 +72,24 @@
 	forwarder Forwarder
 	http      *fasthttp.Server
 	// active counts the connections with a request that is being read or answered.
-	active atomic.Int64
+	active     atomic.Int64
+	logLimiter intake.LogLimiter
+	// rejections has a *rejection for each *fasthttp.RequestHeader that was rejected before
+	// the first byte of its body. The handlers of fasthttp take them.
+	rejections sync.Map
+	// lingering has an element for each connection that lingers.
+	lingering chan struct{}
 }
 
 // NewServer returns a server. Cancelling ctx cancels the requests being served.
 func NewServer(ctx context.Context, opts Options, next Forwarder) *Server {
-	s := &Server{baseCtx: ctx, opts: opts, forwarder: next}
+	opts.Ledger = cmp.Or(opts.Ledger, intake.NewLedger(defaultRequestMemory))
+	opts.BodyPace = cmp.Or(opts.BodyPace, defaultBodyPace)
+	s := &Server{baseCtx: ctx, opts: opts, forwarder: next, lingering: make(chan struct{}, maxLingering)}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.handleError,
+		Handler: s.handle, ErrorHandler: s.handleError, HeaderReceived: s.screenHeader, ExpectHandler: s.decideExpectation,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
@@ -93,55 +119,79 @@
 	}
 	if active {
 		s.active.Add(1)
+		s.beginRequest(conn)
 		return
 	}
 	s.active.Add(-1)
+	conn.endRequest()
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(Listener{ln}) }
 
+// headerErrorPrefix begins fasthttp's errors of reading a header, unlike those of a body.
+const headerErrorPrefix = "error when reading request headers"
+
 // handleError responds to a request that cannot be parsed.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		status = fasthttp.StatusRequestEntityTooLarge
+	conn, _ := ctx.Conn().(*watchedConn)
+	if rejected := s.takeRejection(&ctx.Request.Header); rejected != nil && conn != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		s.reject(ctx, conn, rejected)
+		s.closeAfterAnswer(ctx)
+		return
+	}
+	var small *fasthttp.ErrSmallBuffer
+	r := newRefusal(causeMalformed, err)
+	switch {
+	case conn != nil && conn.evicted.Load():
+		r = newRefusal(causeMemory, err)
+	case errors.As(err, &small):
+		r = newRefusal(causeTooLarge, nil)
+		r.status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded) && strings.HasPrefix(err.Error(), headerErrorPrefix):
+		r = newRefusal(causeHeaderTimeout, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r = newRefusal(causeSlowBody, err)
 	}
-	s.opts.Log.Info("ingress: malformed request rejected, closing the connection", "cause", err.Error(), "status", status)
-	ctx.SetStatusCode(status)
-	ctx.SetConnectionClose()
+	s.refuse(ctx, r)
+	s.closeAfterAnswer(ctx)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(*watchedConn)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		ctx.SetConnectionClose()
+		return
+	}
 	if hasAmbiguousLength(&ctx.Request.Header) {
 		s.opts.Log.Info("ingress: malformed request rejected, closing the connection", "cause", "ambiguous_framing", "status", fasthttp.StatusBadRequest)
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		ctx.SetConnectionClose()
+		s.closeAfterAnswer(ctx)
+		return
+	}
+	req := s.copyHeader(&ctx.Request.Header)
+	if !s.receiveBody(ctx, conn, req) {
 		return
 	}
-	req := s.copyRequest(ctx)
+	req.Arrived = time.Now()
 	workCtx, cancel := context.WithCancel(s.baseCtx)
-	release := cancel
-	if conn, ok := ctx.Conn().(*watchedConn); ok {
-		conn.watch(cancel)
-		release = func() {
-			conn.unwatch()
-			cancel()
-		}
+	conn.watch(cancel)
+	resp := s.forwarder.Do(workCtx, req)
+	if !resp.Streaming {
+		// Only a stream may send the request again from now on.
+		conn.memory.ledger.Return(&conn.memory.entry, cap(req.Body), time.Now())
 	}
-	s.writeResponse(ctx, s.forwarder.Do(workCtx, req), release)
+	s.writeResponse(ctx, conn, resp, func() {
+		conn.unwatch()
+		cancel()
+	})
 }
 
-// copyRequest returns a copy of a request, because fasthttp reuses its memory once
-// the handler has returned, while a stream continues after that.
-func (s *Server) copyRequest(ctx *fasthttp.RequestCtx) *forward.Request {
-	h := &ctx.Request.Header
-	req := s.opts.DecodeHeader(h)
-	req.Method = string(h.Method())
-	req.Host = string(h.Host())
-	req.Target = string(h.RequestURI())
-	req.Body = bytes.Clone(ctx.PostBody())
-	req.Arrived = time.Now()
+// copyHeader returns a request with a copy of its header, because fasthttp reuses its
+// memory once the handler has returned, while a stream continues after that.
+func (s *Server) copyHeader(h *fasthttp.RequestHeader) *forward.Request {
+	req := s.decodeHeader(h)
 	connectionOptions := strings.ToLower(string(h.Peek(fasthttp.HeaderConnection)))
 	for k, v := range h.All() {
 		name := string(k)
@@ -150,12 +200,22 @@
 		}
 		req.Header = append(req.Header, forward.Field{Name: name, Value: string(v)})
 	}
+	return req
+}
+
+// decodeHeader returns a request without the header fields that are forwarded.
+func (s *Server) decodeHeader(h *fasthttp.RequestHeader) *forward.Request {
+	req := s.opts.DecodeHeader(h)
+	req.Method = string(h.Method())
+	req.Host = string(h.Host())
+	req.Target = string(h.RequestURI())
+	req.Arrived = time.Now()
 	return &req
 }
 
 // writeResponse writes a response. It calls release once the forwarder's body has been
 // read, which for a stream is after the handler has returned.
-func (s *Server) writeResponse(ctx *fasthttp.RequestCtx, resp *forward.Response, release func()) {
+func (s *Server) writeResponse(ctx *fasthttp.RequestCtx, conn *watchedConn, resp *forward.Response, release func()) {
 	ctx.SetStatusCode(resp.Status)
 	for _, f := range resp.Header {
 		if !isHopByHop(f.Name) {
@@ -163,15 +223,14 @@
 		}
 	}
 	if resp.RetryAfter > 0 {
-		seconds := strconv.FormatFloat(resp.RetryAfter.Seconds(), 'f', 3, 64)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(resp.RetryAfter))
 	}
 	if s.opts.Stopping() {
 		ctx.SetConnectionClose()
 	}
 	if resp.Streaming {
 		ctx.Response.ImmediateHeaderFlush = true
-		ctx.SetBodyStream(&releaseOnClose{ReadCloser: resp.Body, release: release}, -1)
+		ctx.SetBodyStream(newStreamBody(resp.Body, &conn.memory, release), -1)
 		return
 	}
 	defer release()
@@ -182,20 +241,8 @@
 		ctx.SetConnectionClose()
 		return
 	}
-	ctx.SetBody(body)
-}
-
-// releaseOnClose is a streaming response body that ends the context and the watch of
-// its request when it is closed.
-type releaseOnClose struct {
-	io.ReadCloser
-	release func()
-}
-
-// Close closes the body and then calls release.
-func (b *releaseOnClose) Close() error {
-	defer b.release()
-	return b.ReadCloser.Close()
+	conn.memory.hold(len(body))
+	ctx.Response.SetBodyRaw(body)
 }
 
 // hasAmbiguousLength reports whether a request has both a Transfer-Encoding and a
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -81,6 +81,10 @@
 	m.count("bulrushshed_failures_total", "cause", string(cause))
 }
 
+// Refused counts a request of a caller that was refused, or whose connection was closed,
+// for its cost to the host.
+func (m *Meter) Refused(cause string) { m.count("bulrushshed_refusals_total", "cause", cause) }
+
 // FirstToken records the time to the first token.
 func (m *Meter) FirstToken(customer, class string, took time.Duration) {
 	m.observe("bulrushshed_first_token_seconds", customer, class, took)
