platform: read answers of the store up to a bound of each record

Cause: all calls of the store's client had the bound of answers of jsonhttp.DefaultOptions, 4 MiB, and a timeout for the whole answer.

- A larger record is skipped with an error line that has its size and the limit; other keys are read.
Followers of the host are told to read the store themselves, as they may have more memory.
- A configuration over half of the bound is logged once for each version.
- Only the begin of an answer and the gaps in it are bounded by the timeout of the call.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # Runs each fuzz target for 20 s.
 fuzz:
-	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
+	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords FuzzNewest; do \
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
 	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -10,6 +10,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/peer"
 	"bulrushshed/platform"
+	"bulrushshed/settings"
 )
 
 const (
@@ -24,8 +25,25 @@
 	catchUpTimeout = 800 * time.Millisecond
 	// catchUpHosts is the number of hosts that are asked in one interval.
 	catchUpHosts = 3
+	// maxRecordFraction is the fraction of settings.Host.MemoryMB up to which a record of
+	// the store is held, such as a configuration. One of 12 MB with 60,000 routes takes
+	// 2.5 times its size, decoding it allocates 3.7 times its size more, and the old one
+	// is held until it is replaced.
+	maxRecordFraction = 0.1
+	// minRecordBytes is the least bound of a record. Its answer in base64 has 16 MiB.
+	minRecordBytes = 12 << 20
+	// largeConfigFraction is the fraction of the bound from which on a configuration is
+	// logged as large.
+	largeConfigFraction = 0.5
 )
 
+// maxRecordBytes returns the size up to which this host holds a record of the store.
+func maxRecordBytes(cfg settings.Host) int {
+	const bytesPerMB = 1 << 20
+	held := max(int(maxRecordFraction*float64(cfg.MemoryMB)*bytesPerMB), minRecordBytes)
+	return min(held, cfg.StorePartitionMB*bytesPerMB)
+}
+
 // appliedConfig is the newest configuration that this host has applied, as the operator
 // wrote it. It is never replaced by an older one: a store that is restored from a backup
 // may list an older one until the operator has written the newest again.
@@ -81,6 +99,9 @@
 	if old := h.applied.Load(); old != nil && applied.version <= old.version {
 		return
 	}
+	if limit := maxRecordBytes(h.cfg); float64(len(applied.text)) > largeConfigFraction*float64(limit) {
+		h.log.Warn("config: configuration is large", "version", applied.version, "bytes", len(applied.text), "limit", limit)
+	}
 	h.applied.Store(&applied)
 	h.table.Store(ingress.NewTable(cfg))
 	h.findings.publishConfig(applied.version)
--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -77,6 +77,8 @@
 	// avoidedUntil.
 	avoidedSource string
 	avoidedUntil  time.Time
+	// large is set if the next changes are known to be large.
+	large bool
 	// skipWait is set if the store must answer the next read at once: the last
 	// response of the source may be outdated, and other hosts may be waiting for
 	// this one to start reading.
@@ -159,6 +161,7 @@
 	if resp.Fetch {
 		// The page is too large to be relayed, so this host reads it from the store
 		// unless the store is unavailable.
+		c.large = true
 		return c.connected && c.readStore(ctx)
 	}
 	page, err := resp.Open()
@@ -182,6 +185,8 @@
 	switch {
 	case c.next == feed.Start:
 		p, err = c.host.store.Newest(c.topic)
+	case c.large && c.connected:
+		p, err = c.host.store.ReadLarge(c.topic, c.next)
 	case c.skipWait || !c.connected:
 		// Without a wait time, a store that has recovered answers at once, and a
 		// store that has not does not block this host.
@@ -189,7 +194,7 @@
 	default:
 		p, err = c.host.store.Read(c.topic, c.next, c.pollTimeout)
 	}
-	c.skipWait = false
+	c.skipWait, c.large = false, false
 	switch {
 	case err != nil && isExpired(err) && c.next != feed.Start:
 		c.host.log.Info("store: position expired, reading a snapshot", "topic", c.topic, "position", c.next, "cause", err.Error())
@@ -199,6 +204,7 @@
 		c.recordFailure(err)
 		return false
 	}
+	c.host.logSkipped(c.topic, p)
 	c.applyPage(p, origin{snapshot: c.next == feed.Start, direct: true}, sentAt)
 	if c.batchDelay > 0 && len(p.Changes) > 0 {
 		loop.SleepContext(ctx, c.batchDelay)
@@ -207,6 +213,14 @@
 	return true
 }
 
+// logSkipped logs the changes of a page that this host cannot hold.
+func (h *Host) logSkipped(topic string, p feed.Page) {
+	for _, s := range p.Skipped {
+		h.log.Error("store: record is too large for this host, record skipped", "topic", topic, "key", s.Key,
+			"position", feed.Position{Era: p.Era, Offset: s.Offset}, "bytes", s.Bytes, "limit", maxRecordBytes(h.cfg))
+	}
+}
+
 // awaitMembers waits until the group members have been read once, which tells a
 // host that has just started whether it has a source. It waits at most
 // membersTimeout.
@@ -227,7 +241,7 @@
 		c.connected = true
 		c.host.log.Info("store: topic available again", "topic", c.topic, "direct", from.direct, "from", c.next, "next", p.End(), "snapshot", from.snapshot)
 	}
-	if from.snapshot || len(p.Changes) > 0 {
+	if from.snapshot || len(p.Changes)+len(p.Skipped) > 0 {
 		c.apply(p, from)
 		c.host.feed.log.Put(c.topic, c.relayed(p), from.snapshot)
 	}
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -35,6 +35,8 @@
 	revoke time.Duration
 	// grace is the time that a host has to stop, or 0 for 3 s.
 	grace time.Duration
+	// adjust changes the settings of host n, if it is not nil.
+	adjust func(n int, cfg *settings.Host)
 }
 
 type entryHost struct {
@@ -119,6 +121,9 @@
 	cfg.StoreAddress = proxy.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(cmp.Or(f.grace, 3*time.Second))
+	if f.adjust != nil {
+		f.adjust(n, &cfg)
+	}
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
--- a/daemon/hosted/stored.go
+++ b/daemon/hosted/stored.go
@@ -187,6 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.host.logSkipped(platform.TopicFindings, page)
 	var items []gossip.Item
 	var expired []feed.Change
 	now := time.Now()
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -50,7 +50,9 @@
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
 	}
-	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
+	h.store = platform.NewStore(platform.StoreOptions{
+		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
+	})
 	identity, err := newPeerIdentity(cfg.Name, h)
 	if err != nil {
 		return nil, err
--- a/feed/log.go
+++ b/feed/log.go
@@ -31,6 +31,9 @@
 	// direct is set while this host reads the topic from the store itself.
 	direct bool
 	newest map[string]Change
+	// skipped holds the offsets of the newest changes that this host cannot hold, by key.
+	// Followers with more memory read them from the store.
+	skipped map[string]int64
 	// recent holds the latest changes in order, complete from offset recentFrom
 	// on.
 	recent      []Change
@@ -67,6 +70,7 @@
 	t := l.topic(name)
 	if snapshot {
 		t.newest = map[string]Change{}
+		t.skipped = map[string]int64{}
 		t.recent = nil
 		t.recentSize = 0
 		t.recentFrom = p.Next
@@ -74,6 +78,7 @@
 	for _, c := range p.Changes {
 		t.put(c, !snapshot)
 	}
+	t.putSkipped(p)
 	t.next = p.End()
 	l.era = max(l.era, p.Era)
 	t.notify()
@@ -93,6 +98,32 @@
 	}
 }
 
+// putSkipped records the skipped changes of a page, unless the page also has a newer
+// change of the key.
+func (t *topic) putSkipped(p Page) {
+	for _, c := range p.Changes {
+		if c.Offset > t.skipped[c.Key] {
+			delete(t.skipped, c.Key)
+		}
+	}
+	for _, s := range p.Skipped {
+		newer := slices.ContainsFunc(p.Changes, func(c Change) bool { return c.Key == s.Key && c.Offset > s.Offset })
+		if !newer {
+			t.skipped[s.Key] = s.Offset
+		}
+	}
+}
+
+// lacksSince reports whether this host has skipped a change from a position on.
+func (t *topic) lacksSince(next Position, snapshot bool) bool {
+	for _, offset := range t.skipped {
+		if snapshot || offset >= next.Offset {
+			return true
+		}
+	}
+	return false
+}
+
 // put stores a change as the newest of its key and, if addToRecent is set, as
 // the last of the recent changes.
 func (t *topic) put(c Change, addToRecent bool) {
@@ -160,7 +191,7 @@
 func (l *Log) topic(name string) *topic {
 	t, ok := l.topics[name]
 	if !ok {
-		t = &topic{newest: map[string]Change{}, changed: make(chan struct{})}
+		t = &topic{newest: map[string]Change{}, skipped: map[string]int64{}, changed: make(chan struct{})}
 		l.topics[name] = t
 	}
 	return t
@@ -240,6 +271,10 @@
 	resp.Page.Era = p.Era
 	resp.Page.Next = p.Next
 	resp.Snapshot = snapshot
+	if t.lacksSince(next, snapshot) {
+		resp.Fetch = true
+		return
+	}
 	if p.size() <= maxPlainBytes {
 		resp.Page = p
 		return
--- a/feed/message.go
+++ b/feed/message.go
@@ -16,6 +16,17 @@
 	Changes []Change `cbor:"changes,omitempty"`
 	Era     int64    `cbor:"era,omitempty"`
 	Next    int64    `cbor:"next"`
+	// Skipped lists the changes that this host has read but cannot hold. It is never
+	// relayed.
+	Skipped []Skipped `cbor:"-"`
+}
+
+// Skipped is a change whose value is too large for this host.
+type Skipped struct {
+	Offset int64
+	Key    string
+	// Bytes is the size of the value.
+	Bytes int64
 }
 
 // End returns the position at which the following page begins.
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -138,6 +138,10 @@
 	Headers map[string]string
 	Body    []byte
 	Timeout time.Duration
+	// MinBodyRate is the rate in bytes per second at which the body of the response must
+	// arrive on average, after Timeout, when it is read from a [Stream]. Gaps may not
+	// exceed Timeout. 0 means that the body may take any time.
+	MinBodyRate int
 }
 
 // Response is a complete response.
--- a/jsonhttp/stream.go
+++ b/jsonhttp/stream.go
@@ -20,6 +20,25 @@
 	conn   *countingConn
 	// detach stops the context from closing the connection.
 	detach func() bool
+	// pace bounds the time in which the body must arrive.
+	pace pace
+}
+
+// pace bounds how slowly a body may arrive. The zero value sets no bound.
+type pace struct {
+	minRate int
+	gap     time.Duration
+	start   time.Time
+	read    int
+}
+
+// deadline returns the time by which the next bytes of the body must arrive.
+func (p *pace) deadline(now time.Time) time.Time {
+	average := p.start.Add(p.gap + time.Duration(float64(p.read)/float64(p.minRate)*float64(time.Second)))
+	if next := now.Add(p.gap); next.Before(average) {
+		return next
+	}
+	return average
 }
 
 // countingConn counts the bytes written to a connection.
@@ -38,8 +57,20 @@
 // Header returns the first value of a header of the response.
 func (s *Stream) Header(name string) string { return string(s.resp.Header.Peek(name)) }
 
+// ContentLength returns the announced length of the body, or a negative number.
+func (s *Stream) ContentLength() int { return s.resp.Header.ContentLength() }
+
 // Read reads the next bytes of the body.
-func (s *Stream) Read(p []byte) (int, error) { return s.resp.BodyStream().Read(p) }
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.pace.minRate > 0 {
+		if err := s.conn.SetReadDeadline(s.pace.deadline(time.Now())); err != nil {
+			return 0, err
+		}
+	}
+	n, err := s.resp.BodyStream().Read(p)
+	s.pace.read += n
+	return n, err
+}
 
 // Close ends the stream and its connection.
 func (s *Stream) Close() {
@@ -95,6 +126,7 @@
 		return nil, &Error{Op: r.op(), Kind: kind, Cause: eris.Wrap(err, "exchange")}
 	}
 	s.Status = s.resp.StatusCode()
+	s.pace = pace{minRate: r.MinBodyRate, gap: r.Timeout, start: time.Now()}
 	return s, nil
 }
 
--- a/settings/host.go
+++ b/settings/host.go
@@ -26,6 +26,8 @@
 	StoreAddress     string `json:"store_address"`
 	// MemoryMB is the memory limit of the process.
 	MemoryMB int `json:"memory_mb"`
+	// StorePartitionMB is the size in MB up to which a topic of the store holds records.
+	StorePartitionMB int `json:"store_partition_mb"`
 	// ProcessorShare is the processor time that the host may use, in cores, and
 	// LinkMbps the bandwidth of its link.
 	ProcessorShare float64 `json:"processor_share"`
@@ -48,7 +50,8 @@
 // DefaultHost returns the defaults of the fields that a file may omit.
 func DefaultHost() Host {
 	return Host{
-		MemoryMB: 256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
+		StorePartitionMB: 200,
+		MemoryMB:         256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
 		Log: Log{Format: "json", Level: "info"},
 	}
@@ -89,6 +92,7 @@
 	c.address("peer_address", h.PeerAddress)
 	c.address("store_address", h.StoreAddress)
 	c.count("memory_mb", h.MemoryMB, maxCount)
+	c.count("store_partition_mb", h.StorePartitionMB, maxCount)
 	c.positive("revoke", h.Revoke)
 	c.positive("grace", h.Grace)
 	c.positive("addresses_valid_max", h.AddressesValidMax)
