peer: bound the configuration of another host by what the receiver can hold

A host gets the configuration from another one while the store lacks it or does not answer. Messages were bounded to 16 MiB and this one to 0.8 s, so that one of more than 1.4 MB did not arrive over a link of 14 Mbit/s, and one over 16 MiB never, while each attempt sent it again every 0.5 s.

The reply is now bounded by the receiver's bound of a record, which the message names, so that a host that cannot hold the configuration gets none. Messages from other hosts keep their bound. Only gaps in the reply are bounded by 0.8 s, and the whole by 30 s.

--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -21,8 +21,11 @@
 	// catchUpInterval is the interval at which a host that other hosts are ahead of asks
 	// them for their configuration. A version usually arrives from the store before that.
 	catchUpInterval = 500 * time.Millisecond
-	// catchUpTimeout bounds one request for the configuration of another host.
-	catchUpTimeout = 800 * time.Millisecond
+	// catchUpGap bounds the time in which no byte of the configuration of another host
+	// arrives, and catchUpTimeout that of the whole request. In the latter, 50 MB arrive
+	// at 14 Mbit/s.
+	catchUpGap     = 800 * time.Millisecond
+	catchUpTimeout = 30 * time.Second
 	// catchUpHosts is the number of hosts that are asked in one interval.
 	catchUpHosts = 3
 	// maxRecordFraction is the fraction of settings.Host.MemoryMB up to which a record of
@@ -157,7 +160,7 @@
 	addresses, _ := h.findings.partners(time.Now())
 	for _, address := range addresses[:min(len(addresses), catchUpHosts)] {
 		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-		reply, err := h.feed.node.Call(ctx, address, peer.Message{Kind: peer.KindConfig})
+		reply, err := h.feed.node.CallPaced(ctx, address, peer.Message{Kind: peer.KindConfig, MaxBytes: maxRecordBytes(h.cfg)}, catchUpGap)
 		cancel()
 		switch {
 		case err != nil:
@@ -181,9 +184,10 @@
 	h.replaceConfig(appliedConfig{version: cfg.Version, text: text}, cfg)
 }
 
-// configReply returns the configuration that this host has applied, for another host.
-func (h *Host) configReply() peer.Reply {
-	if applied := h.applied.Load(); applied != nil {
+// configReply returns the configuration that this host has applied, for another host that
+// can hold maxBytes. Hosts of older versions name no size.
+func (h *Host) configReply(maxBytes int) peer.Reply {
+	if applied := h.applied.Load(); applied != nil && (maxBytes == 0 || len(applied.text) <= maxBytes) {
 		return peer.Reply{Config: applied.text}
 	}
 	return peer.Reply{}
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -25,8 +25,10 @@
 	// peerDialTimeout bounds its setup.
 	peerIdleTimeout = 2 * time.Second
 	peerDialTimeout = 500 * time.Millisecond
-	// maxPeerMessageBytes bounds one message between hosts.
+	// maxPeerMessageBytes bounds one message between hosts, and configReplyOverhead is the
+	// most that the reply with a configuration has beyond it.
 	maxPeerMessageBytes = 16 << 20
+	configReplyOverhead = 1 << 10
 )
 
 // errUnusableResponse is returned for a reply that contains no feed response,
@@ -50,7 +52,7 @@
 	r := &feedRelay{host: h, log: feed.NewLog(h.group.memberName, h.freshness.Now)}
 	node, err := peer.NewNode(peer.Options{
 		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, IdleTimeout: peerIdleTimeout,
-		Relay: h.connector,
+		MaxReplyBytes: int64(maxRecordBytes(h.cfg)) + configReplyOverhead, Relay: h.connector,
 	}, identity.tls, r, h.log)
 	r.node = node
 	return r, err
@@ -65,7 +67,7 @@
 		permit := r.host.limiter.Answer(*m.Permit, time.Now())
 		return peer.Reply{Permit: &permit}
 	case m.Kind == peer.KindConfig:
-		return r.host.configReply()
+		return r.host.configReply(m.MaxBytes)
 	case m.Kind == peer.KindFeed && m.Feed != nil:
 		req := *m.Feed
 		req.Wait = min(req.Wait, feedPollTimeout)
--- a/daemon/hosted/large_test.go
+++ b/daemon/hosted/large_test.go
@@ -84,3 +84,26 @@
 	f.store.put("keyed.op", "config", largeConfiguration(4, 2<<20, "k2"))
 	f.awaitAccepted(t, "k2", f.hosts[1])
 }
+
+// A large configuration that a restore of the store has lost must reach a host that starts
+// from another host, unless it cannot hold it.
+func TestStartingHostAsksForLargeConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.adjust = func(n int, cfg *settings.Host) {
+		if n == 1 {
+			cfg.StorePartitionMB = 1
+		}
+	}
+	f.hosts = []*entryHost{f.start(t, 0)}
+	f.awaitAccepted(t, "k1", f.hosts...)
+	old := f.store.copy()
+	f.store.put("keyed.op", "config", largeConfiguration(4, 18<<20, "k2"))
+	f.awaitAccepted(t, "k2", f.hosts...)
+	f.store.restore(old)
+	for i := range 2 {
+		f.hosts = append(f.hosts, f.start(t, i+1))
+	}
+	f.awaitAccepted(t, "k2", f.hosts[2])
+	is.New(t).True(statusOf(f.hosts[1].request(t, "GET", "/stock/1", "k2")) != 200)
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -36,8 +36,8 @@
 	KindPermit Kind = "permit"
 )
 
-// Message is one request. Only the field for its kind is set; KindJoin and KindConfig
-// have none, and KindRules uses Have.
+// Message is one request. Only the field for its kind is set; KindJoin has none, KindRules
+// uses Have, and KindConfig uses MaxBytes.
 type Message struct {
 	Kind     Kind                `cbor:"kind"`
 	Forward  *Forward            `cbor:"forward,omitempty"`
@@ -47,6 +47,9 @@
 	Permit   *ratelimit.Question `cbor:"permit,omitempty"`
 	// Have is the version that a host requesting newer rules already has.
 	Have rule.Version `cbor:"have,omitempty"`
+	// MaxBytes is the size of the largest configuration that the sender can hold, for
+	// KindConfig; 0 if it does not say.
+	MaxBytes int `cbor:"max_bytes,omitempty"`
 }
 
 // Demand is the recent request rate of one host, for each rate-limited customer
--- a/peer/node.go
+++ b/peer/node.go
@@ -58,8 +58,9 @@
 	Address string
 	// DialTimeout limits the time to establish a connection.
 	DialTimeout time.Duration
-	// MaxBytes limits the size of one message.
-	MaxBytes int64
+	// MaxBytes limits the size of one message, and MaxReplyBytes that of a reply, if it is
+	// more than MaxBytes.
+	MaxBytes, MaxReplyBytes int64
 	// Relay connects to replicas for other hosts; nil refuses that.
 	Relay RelayHandler
 	// IdleTimeout is the idle timeout of a connection, or 0 for 90 s.
@@ -213,7 +214,7 @@
 		return
 	}
 	var m Message
-	if err := n.read(withFirst(first[0], s), &m); err != nil {
+	if err := n.read(withFirst(first[0], s), n.opts.MaxBytes, &m); err != nil {
 		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
 		return
 	}
@@ -222,14 +223,14 @@
 	}
 }
 
-func (n *Node) read(r io.Reader, out any) error {
-	body, err := io.ReadAll(io.LimitReader(r, n.opts.MaxBytes+1))
+func (n *Node) read(r io.Reader, limit int64, out any) error {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return err
 	}
 	n.bytes.Add(int64(len(body)))
-	if int64(len(body)) > n.opts.MaxBytes {
-		return eris.Errorf("message exceeds %d bytes", n.opts.MaxBytes)
+	if int64(len(body)) > limit {
+		return eris.Errorf("message exceeds %d bytes", limit)
 	}
 	return cbor.Unmarshal(body, out)
 }
@@ -271,11 +272,25 @@
 
 // Call sends a message to the peer at an address and returns its reply.
 func (n *Node) Call(ctx context.Context, address string, m Message) (Reply, error) {
+	return n.call(ctx, address, m, func() {})
+}
+
+// CallPaced is Call for replies that may be large: it fails if no byte of the reply arrives
+// for the time of gap.
+func (n *Node) CallPaced(ctx context.Context, address string, m Message, gap time.Duration) (Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(gap, cancel)
+	defer timer.Stop()
+	return n.call(ctx, address, m, func() { timer.Reset(gap) })
+}
+
+func (n *Node) call(ctx context.Context, address string, m Message, progress func()) (Reply, error) {
 	conn, err := n.conn(ctx, address)
 	if err != nil {
 		return Reply{}, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
 	}
-	r, err := n.exchange(ctx, conn, m)
+	r, err := n.exchange(ctx, conn, m, progress)
 	if isRejection(err) {
 		n.forget(address, conn)
 	}
@@ -283,7 +298,8 @@
 }
 
 // exchange sends a message on a connection and returns the reply.
-func (n *Node) exchange(ctx context.Context, conn *quic.Conn, m Message) (Reply, error) {
+// progress is called whenever bytes of the reply arrive.
+func (n *Node) exchange(ctx context.Context, conn *quic.Conn, m Message, progress func()) (Reply, error) {
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return Reply{}, &Error{Op: "open", Kind: ErrorUnreachable, Cause: err}
@@ -300,8 +316,23 @@
 		return Reply{}, &Error{Op: "write", Kind: ErrorNoReply, Cause: err}
 	}
 	var r Reply
-	if err := n.read(s, &r); err != nil {
+	if err := n.read(progressReader{s, progress}, max(n.opts.MaxBytes, n.opts.MaxReplyBytes), &r); err != nil {
 		return Reply{}, &Error{Op: "read", Kind: ErrorNoReply, Cause: err}
 	}
 	return r, nil
 }
+
+// progressReader reports the arrival of bytes.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+// Read reads from the underlying reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
