platformhttp: read fewer records when a page is too large

A host of the native dialect asks for up to 500 records of the log at a time. Where these have more than 4 MiB, such as rule files, the client refused the page, and the host asked for the same page without an end.

The client now halves the number of records while the response is too large.

Evidence: TestReadOfLargeRecordsReturnsFewer fails on the previous commit ("body size exceeds the given limit") and passes now. A single record of more than 4 MiB is still refused.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -63,6 +63,9 @@
 	return ""
 }
 
+// IsTooLarge reports whether a response exceeded Options.MaxResponseBytes.
+func IsTooLarge(err error) bool { return errors.Is(err, fasthttp.ErrBodyTooLarge) }
+
 // Options limit a client's connections and responses.
 type Options struct {
 	DialTimeout time.Duration
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -103,10 +103,17 @@
 // Era returns the era of the log as of the last answer, or 0.
 func (c *Client) Era() int64 { return c.era.Load() }
 
-// read returns the records from an offset of the current era on, and that era.
+// read returns the records from an offset of the current era on, and that era. It reads
+// fewer records while the response is too large.
 func (c *Client) read(from int64, limit int, wait time.Duration) (page hostlog.Page, era int64, err error) {
-	path := fmt.Sprintf("/v1/log?from=%d&limit=%d&wait_ms=%d", from, limit, wait.Milliseconds())
-	era, err = c.callLog("read", http.MethodGet, path, nil, &page)
+	for {
+		path := fmt.Sprintf("/v1/log?from=%d&limit=%d&wait_ms=%d", from, limit, wait.Milliseconds())
+		era, err = c.callLog("read", http.MethodGet, path, nil, &page)
+		if !jsonhttp.IsTooLarge(err) || limit <= 1 {
+			break
+		}
+		limit /= 2
+	}
 	if err != nil {
 		return hostlog.Page{}, 0, err
 	}
