--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 
 # Runs each fuzz target for 20 s.
 fuzz:
-	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
+	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords FuzzNewest; do \
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
 	go test ./ingresshttp -run xxx -fuzz FuzzFraming -fuzztime 20s
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
--- a/settings/host.go
+++ b/settings/host.go
@@ -33,6 +33,8 @@
 	// average.
 	BodyGrace          Duration `json:"body_grace"`
 	BodyBytesPerSecond int      `json:"body_bytes_per_second"`
+	// StorePartitionMB is the size in MB up to which a topic of the store holds records.
+	StorePartitionMB int `json:"store_partition_mb"`
 	// ProcessorShare is the processor time that the host may use, in cores, and
 	// LinkMbps the bandwidth of its link.
 	ProcessorShare float64 `json:"processor_share"`
@@ -55,7 +57,8 @@
 // DefaultHost returns the defaults of the fields that a file may omit.
 func DefaultHost() Host {
 	return Host{
-		MemoryMB: 256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
+		StorePartitionMB: 200,
+		MemoryMB:         256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
 		BodyGrace: Duration(20 * time.Second), BodyBytesPerSecond: 16 << 10,
 		Log: Log{Format: "json", Level: "info"},
@@ -113,6 +116,7 @@
 	}
 	c.positive("body_grace", h.BodyGrace)
 	c.count("body_bytes_per_second", h.BodyBytesPerSecond, maxBytes)
+	c.count("store_partition_mb", h.StorePartitionMB, maxCount)
 	c.positive("revoke", h.Revoke)
 	c.positive("grace", h.Grace)
 	c.positive("addresses_valid_max", h.AddressesValidMax)
