hosted: keys are not confirmed while the newest configuration is skipped

A host skips a configuration that it cannot hold and goes on with the last one. It confirmed the keys of that one with each read of the store, so keys that the skipped version had revoked were accepted without end.

The host now confirms no keys until it has a newer configuration: it refuses requests with keys once those are as old as in an outage of the store (503).

TestKeysExpireWhileConfigurationIsSkipped fails without the change (no refusal within 30 s).

--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -67,6 +67,7 @@
 
 // applyConfig applies the configurations of a page.
 func (h *Host) applyConfig(p feed.Page, from origin) {
+	h.trackSkippedConfig(p)
 	for _, c := range p.Changes {
 		if c.Key != platform.KeyConfig || len(c.Value) == 0 {
 			continue
@@ -84,6 +85,23 @@
 	}
 }
 
+// trackSkippedConfig records whether the newest configuration is one that this host cannot
+// hold. Its keys are not known then, so those of the last one are not confirmed any more.
+func (h *Host) trackSkippedConfig(p feed.Page) {
+	newest := int64(-1)
+	for _, c := range p.Changes {
+		if c.Key == platform.KeyConfig && c.Offset > newest {
+			newest = c.Offset
+			h.configSkipped.Store(false)
+		}
+	}
+	for _, s := range p.Skipped {
+		if s.Key == platform.KeyConfig && s.Offset > newest {
+			h.configSkipped.Store(true)
+		}
+	}
+}
+
 // isNewlyWritten reports whether the operator has written a version since the store was
 // last restored. Whatever the restore has lost is republished by then.
 func (h *Host) isNewlyWritten(version int64, at feed.Position, snapshot bool) bool {
@@ -130,7 +148,7 @@
 // confirmConfig records that all configurations up to a time are applied. Right after a
 // restore the store cannot tell that: it may lack versions that were acknowledged.
 func (h *Host) confirmConfig(at time.Duration) {
-	if h.era.settled() {
+	if h.era.settled() && !h.configSkipped.Load() {
 		h.freshness.Confirm(at)
 	}
 }
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -92,6 +92,8 @@
 	// replicasEra is the era of the store in which the replica list was last read. Only the
 	// loop that follows the list uses it.
 	replicasEra int64
+	// configSkipped is set while the newest configuration is too large for this host.
+	configSkipped atomic.Bool
 	// configMu is held while a configuration replaces another one.
 	configMu sync.Mutex
 	// replicasKnown is set once the replica list has been read.
--- a/daemon/hosted/large_test.go
+++ b/daemon/hosted/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -70,6 +71,21 @@
 	f.awaitAccepted(t, "k3", f.hosts...)
 }
 
+// A configuration that is too large for a host may revoke keys. They must not be accepted
+// for longer than without the store.
+func TestKeysExpireWhileConfigurationIsSkipped(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.adjust = holdLittle
+	f.revoke = time.Second
+	f.hosts = []*entryHost{f.start(t, 0)}
+	f.awaitAccepted(t, "k1", f.hosts...)
+	f.store.put("keyed.op", "config", largeConfiguration(4, 2<<20, "k2"))
+	await(t, "refusal of the old key", func() bool { return statusOf(f.hosts[0].request(t, "GET", "/stock/1", "k1")) == 503 })
+	f.store.put("keyed.op", "config", configuration(5, "k3"))
+	f.awaitAccepted(t, "k3", f.hosts...)
+}
+
 // The host that reads the store for another one may have less memory. The other one must
 // read what it skips from the store.
 func TestFollowerReadsWhatItsSourceCannotHold(t *testing.T) {
