--- a/daemon/hosted/large_test.go
+++ b/daemon/hosted/large_test.go
@@ -81,7 +81,14 @@
 	f.hosts = []*entryHost{f.start(t, 0)}
 	f.awaitAccepted(t, "k1", f.hosts...)
 	f.store.put("keyed.op", "config", largeConfiguration(4, 2<<20, "k2"))
-	await(t, "refusal of the old key", func() bool { return statusOf(f.hosts[0].request(t, "GET", "/stock/1", "k1")) == 503 })
+	refusals := 0
+	await(t, "refusals of the old key for longer than a read of the store", func() bool {
+		refusals++
+		if statusOf(f.hosts[0].request(t, "GET", "/stock/1", "k1")) != 503 {
+			refusals = 0
+		}
+		return refusals >= 100
+	})
 	f.store.put("keyed.op", "config", configuration(5, "k3"))
 	f.awaitAccepted(t, "k3", f.hosts...)
 }
