ingresshttp, accept, daemon: accept errors and idle connections no longer end a host

Idle connections were kept for 75 s, whatever idle_timeout_ms says. - A server ended at the first error of accept, also at EMFILE, which passes. - Run returned at once when a server ended, without a drain.

The server sets read deadlines itself: the idle timeout before the first byte of a request, from accept on too, and the header timeout from there. Header and body together keep their 20 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
+	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -115,8 +118,12 @@
 	}
 }
 
-// Run serves until stop is cancelled, and then shuts down gracefully. i is an
-// injector returned by Wire.
+// errServerEnded is the error of a server that ends before the shutdown.
+var errServerEnded = errors.New("server ended")
+
+// Run serves until stop is cancelled, and then shuts down gracefully. If one of the servers
+// fails, it shuts down in the same way and returns the error. i is an injector returned by
+// Wire.
 func Run(stop context.Context, i do.Injector) error {
 	d, err := do.Invoke[*Daemon](i)
 	if err != nil {
@@ -146,10 +153,12 @@
 	d.announceSelf(workCtx)
 	d.log.Info("daemon: serving", "callers", d.cfg.CallerAddress, "operators", d.cfg.OperatorAddress,
 		"peers", d.cfg.PeerAddress, "incarnation", d.self.Incarnation)
+	var failure error
 	select {
 	case <-stop.Done():
 	case err := <-servers.failed:
-		return eris.Wrap(err, "serve")
+		failure = eris.Wrap(cmp.Or(err, errServerEnded), "serve")
+		d.log.Error("daemon: a server failed, stopping", "cause", failure.Error())
 	}
 	d.drain(servers)
 	cancel()
@@ -161,7 +170,7 @@
 		}
 	}
 	d.log.Info("daemon: stopped")
-	return nil
+	return failure
 }
 
 func (d *Daemon) listenPeers() error {
@@ -195,7 +204,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	go func() { s.failed <- s.callerApp.Listener(callerListener{ln}, listenConfig) }()
+	go func() { s.failed <- s.callerApp.Listener(d.keepAccepting(callerListener{ln}), listenConfig) }()
 	return nil
 }
 
@@ -226,10 +235,15 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
-	go func() { s.failed <- s.operatorApp.Listener(ln, listenConfig) }()
+	go func() { s.failed <- s.operatorApp.Listener(d.keepAccepting(ln), listenConfig) }()
 	return nil
 }
 
+// keepAccepting returns a listener that continues after transient errors.
+func (d *Daemon) keepAccepting(ln net.Listener) net.Listener {
+	return accept.NewListener(ln, accept.Options{Log: d.log})
+}
+
 // startLoops starts the background loops. Each returned channel receives the
 // loop's error, or nil, when the loop has ended.
 func (d *Daemon) startLoops(ctx context.Context) []<-chan error {
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -1,7 +1,9 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"net"
@@ -99,6 +101,7 @@
 	// closing is set when a stopping host no longer accepts requests, and never
 	// cleared.
 	closing atomic.Bool
+	listen  Listen
 	// listener accepts the connections of callers; serve sets it.
 	listener net.Listener
 }
@@ -113,8 +116,13 @@
 	return h.table.Load(), fresh
 }
 
-// Run serves until the stop context ends, and then stops gracefully. The
-// injector must come from [Wire].
+// errServerEnded is the error of a server that ends although its listener was not closed
+// by the host.
+var errServerEnded = errors.New("server ended")
+
+// Run serves until the stop context ends, and then stops gracefully. If one of the servers
+// fails, the host stops in the same way, and Run returns the error. The injector must come
+// from [Wire].
 func Run(stop context.Context, i do.Injector) error {
 	h, err := do.Invoke[*Host](i)
 	if err != nil {
@@ -141,16 +149,18 @@
 		loop.Every(loopCtx, cleanupInterval, h.cleanUp),
 	}
 	h.log.Info("host: serving", "callers", h.cfg.CallerAddress, "store", h.cfg.StoreAddress, "domain", h.cfg.FailureDomain)
+	var failure error
 	select {
 	case <-stop.Done():
 	case err := <-failed:
-		return eris.Wrap(err, "serve")
+		failure = eris.Wrap(err, "serve")
+		h.log.Error("host: a server failed, stopping", "cause", err.Error())
 	}
 	h.drain()
 	cancel()
 	h.awaitLoops(loops)
 	h.log.Info("host: stopped")
-	return nil
+	return failure
 }
 
 // awaitLoops waits for the background loops to stop, for at most
@@ -181,7 +191,7 @@
 		{h.cfg.MetricsAddress, h.serveMetrics},
 		{h.cfg.CallerAddress, h.callerServer.Serve},
 	} {
-		ln, err := net.Listen("tcp", s.address)
+		ln, err := h.listen("tcp", s.address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
@@ -191,7 +201,7 @@
 		go func() {
 			err := s.serve(ln)
 			if !h.closing.Load() {
-				failed <- err
+				failed <- cmp.Or(err, errServerEnded)
 			}
 		}()
 	}
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -35,6 +35,8 @@
 	revoke time.Duration
 	// grace is the time that a host has to stop, or 0 for 3 s.
 	grace time.Duration
+	// listen opens the listeners of a host. Nil means net.Listen.
+	listen hosted.Listen
 }
 
 type entryHost struct {
@@ -126,6 +128,9 @@
 	h := &entryHost{cfg: cfg, proxy: proxy, links: &links{}, stop: cancel, done: make(chan error, 1)}
 	injector := hosted.Wire(cfg)
 	do.OverrideValue(injector, hosted.DirectDial(h.links.dial))
+	if f.listen != nil {
+		do.OverrideValue(injector, f.listen)
+	}
 	go func() { h.done <- hosted.Run(ctx, injector) }()
 	t.Cleanup(func() {
 		cancel()
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
+	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
 	"bulrushshed/platform"
 )
@@ -29,23 +30,31 @@
 	return t != nil && fresh && !h.stopping.Load()
 }
 
+// callerLimits returns the limits of the newest configuration.
+func (h *Host) callerLimits() ingress.Limits {
+	if t := h.table.Load(); t != nil {
+		return t.Limits
+	}
+	return ingress.DefaultLimits()
+}
+
 func (h *Host) serveReady(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) {
+	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case string(ctx.Path()) != platform.PathReady:
 			ctx.SetStatusCode(http.StatusNotFound)
 		case !h.ready():
 			ctx.SetStatusCode(http.StatusServiceUnavailable)
 		}
-	})(ln)
+	})
 }
 
 func (h *Host) serveMetrics(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })(ln)
+	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })
 }
 
 func (h *Host) serveDirectory(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) {
+	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != platform.PathAddresses {
 			ctx.SetStatusCode(http.StatusNotFound)
 			return
@@ -63,7 +72,7 @@
 		}
 		ctx.SetContentType("application/json")
 		ctx.SetBody(body)
-	})(ln)
+	})
 }
 
 // addresses returns the addresses that a caller in a failure domain should use.
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"time"
 
@@ -28,11 +29,15 @@
 // DirectDial opens the connections of a host to replicas.
 type DirectDial replicahttp.Dial
 
+// Listen opens the listeners of a host.
+type Listen func(network, address string) (net.Listener, error)
+
 // Wire returns an injector that provides a [Host] with the given settings.
 func Wire(cfg settings.Host) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, cfg)
 	do.ProvideValue(i, DirectDial(replicahttp.DialDirect))
+	do.ProvideValue(i, Listen(net.Listen))
 	do.Provide(i, newHost)
 	return i
 }
@@ -49,6 +54,7 @@
 		replicas:  replica.NewList(outageGracePeriod),
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
+		listen:    do.MustInvoke[Listen](i),
 	}
 	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
 	identity, err := newPeerIdentity(cfg.Name, h)
@@ -71,7 +77,8 @@
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
-		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
+		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
+		Limits: h.callerLimits, Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Limiter:    h.limiter,
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -24,6 +24,8 @@
 	// empty or no customer has a key left. Requests then need an API key.
 	KeysRequired bool
 	Customers    []Customer
+	// Limits has zero or a negative value where the default applies.
+	Limits Limits
 }
 
 // Rule defines which services handle the requests for a host and path prefix,
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -10,6 +10,8 @@
 // is immutable.
 type Table struct {
 	Version int64
+	// Limits are those of the configuration, with the defaults filled in.
+	Limits Limits
 
 	// rules is indexed by the lower-case host followed by the path prefix.
 	rules          map[string]*Rule
@@ -21,8 +23,8 @@
 // NewTable compiles a configuration.
 func NewTable(cfg Config) *Table {
 	t := &Table{
-		Version: cfg.Version,
-		rules:   make(map[string]*Rule, len(cfg.Rules)), services: map[string]*Service{}, customersByKey: map[string]*Customer{},
+		Version: cfg.Version, Limits: cfg.Limits.orDefault(),
+		rules: make(map[string]*Rule, len(cfg.Rules)), services: map[string]*Service{}, customersByKey: map[string]*Customer{},
 		keysRequired: cfg.KeysRequired,
 	}
 	for i := range cfg.Rules {
--- a/ingresshttp/auxiliary.go
+++ b/ingresshttp/auxiliary.go
@@ -1,10 +1,13 @@
 package ingresshttp
 
 import (
+	"log/slog"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"bulrushshed/accept"
 )
 
 const (
@@ -14,12 +17,12 @@
 	auxiliaryIdleTimeout = 30 * time.Second
 )
 
-// AuxiliaryServer returns a function that serves the HTTP requests of one of the
-// host's other listeners, such as that for metrics, until the listener is closed.
-func AuxiliaryServer(handle fasthttp.RequestHandler) func(net.Listener) error {
+// ServeAuxiliary serves the HTTP requests of one of the host's other listeners, such as
+// that for metrics, until the listener is closed. Transient errors do not end it.
+func ServeAuxiliary(ln net.Listener, log *slog.Logger, handle fasthttp.RequestHandler) error {
 	s := &fasthttp.Server{
 		Handler: handle, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryIdleTimeout,
 		NoDefaultServerHeader: true, Logger: discardLogger{},
 	}
-	return s.Serve
+	return s.Serve(accept.NewListener(ln, accept.Options{Log: log}))
 }
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -9,22 +9,34 @@
 	"time"
 )
 
-// Listener accepts connections that detect when the peer disconnects while its
-// request is served.
-type Listener struct{ net.Listener }
+// listener accepts connections that keep deadlines and detect when the peer disconnects
+// while its request is served.
+type listener struct {
+	net.Listener
+	deadlines *deadlines
+}
 
 // Accept waits for the next connection and returns it.
-func (l Listener) Accept() (net.Conn, error) {
+func (l listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: conn}, nil
+	return l.deadlines.newConn(conn), nil
 }
 
 // watchedConn reads one byte ahead while it is watched, to detect a disconnect.
 type watchedConn struct {
 	net.Conn
+	deadlines *deadlines
+	// phase is what the connection reads next, and answered whether a request has been
+	// answered on it.
+	phase    phase
+	answered bool
+	// beganAt is when the first byte of the request arrived, and headerTimeout the time that
+	// its header has from then on.
+	beganAt       time.Time
+	headerTimeout time.Duration
 	// active is set while the connection has a request that is being read or answered.
 	active atomic.Bool
 
@@ -36,8 +48,18 @@
 	readDone chan struct{}
 }
 
-// Read returns the byte that was read ahead, if any, before reading on.
+// Read reads from the connection. The first byte of a request starts the time for its
+// header.
 func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.readNext(p)
+	if n > 0 {
+		c.beginRequest()
+	}
+	return n, err
+}
+
+// readNext returns the byte that was read ahead, if any, before reading on.
+func (c *watchedConn) readNext(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.hasReadAhead && len(p) > 0 {
 		p[0] = c.readAhead[0]
@@ -69,7 +91,7 @@
 	}
 	done := make(chan struct{})
 	c.readDone = done
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
 		n, err := c.Conn.Read(c.readAhead[:])
@@ -95,7 +117,7 @@
 		return
 	}
 	// A deadline in the past ends the read at once.
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-done
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 }
--- /dev/null
+++ b/ingresshttp/deadline.go
@@ -0,0 +1,101 @@
+package ingresshttp
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bulrushshed/ingress"
+)
+
+// phase is what a connection reads next.
+type phase int8
+
+const (
+	// phaseIdle is the time before the first byte of a request.
+	phaseIdle phase = iota
+	// phaseHeader is the time from there to the end of the header.
+	phaseHeader
+	// phaseRequest lasts from the end of the header to the end of the response.
+	phaseRequest
+)
+
+// deadlines sets the read deadlines of a server's connections. fasthttp's own timeouts are
+// off: they do not distinguish a connection that sends nothing from one that does not
+// complete its header, and cannot follow the configuration.
+type deadlines struct {
+	limits func() ingress.Limits
+	// requestTimeout bounds reading a request, header and body together. A header timeout
+	// that is longer applies to both.
+	requestTimeout time.Duration
+}
+
+// limitsOrDefault returns the source of limits, or one of the defaults if there is none.
+func limitsOrDefault(limits func() ingress.Limits) func() ingress.Limits {
+	if limits == nil {
+		return ingress.DefaultLimits
+	}
+	return limits
+}
+
+// headerReceived makes fasthttp set a read deadline at the end of each header, by which the
+// connection learns of it.
+func (d *deadlines) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{ReadTimeout: d.requestTimeout, MaxRequestBodySize: d.limits().BodyBytes}
+}
+
+// newConn returns a connection that waits for the first byte of a request.
+func (d *deadlines) newConn(conn net.Conn) *watchedConn {
+	c := &watchedConn{Conn: conn, deadlines: d}
+	c.awaitRequest()
+	return c
+}
+
+// awaitRequest starts the time that the connection may be idle. Only the goroutine that
+// serves the connection calls it and the other methods that change the phase, and the one
+// that accepts connections before that.
+func (c *watchedConn) awaitRequest() {
+	c.phase = phaseIdle
+	// It fails only if the connection has ended, which the next read reports.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.deadlines.limits().IdleTimeout))
+}
+
+// beginRequest starts the time for the header, if the connection was idle.
+func (c *watchedConn) beginRequest() {
+	if c.phase != phaseIdle {
+		return
+	}
+	c.phase = phaseHeader
+	c.headerTimeout = c.deadlines.limits().HeaderTimeout
+	c.beganAt = time.Now()
+	_ = c.Conn.SetReadDeadline(c.beganAt.Add(c.headerTimeout))
+}
+
+// SetReadDeadline sets the deadline of reads. fasthttp calls it at the end of the header,
+// because headerReceived names a timeout. The first call in a request therefore ends the
+// time for the header, and starts that for the rest of the request.
+func (c *watchedConn) SetReadDeadline(t time.Time) error {
+	if c.phase == phaseHeader {
+		c.phase = phaseRequest
+		t = c.beganAt.Add(max(c.deadlines.requestTimeout, c.headerTimeout))
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// trackPhase follows what fasthttp reports of a connection.
+func (c *watchedConn) trackPhase(state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateActive:
+		// The first bytes of a pipelined request are in fasthttp's buffer already. The first
+		// request of a connection may be reported before any byte of it was read, and begins
+		// with that byte.
+		if c.answered {
+			c.beginRequest()
+		}
+	case fasthttp.StateIdle:
+		c.answered = true
+		c.awaitRequest()
+	default:
+	}
+}
--- a/ingresshttp/doc.go
+++ b/ingresshttp/doc.go
@@ -3,11 +3,11 @@
 //
 // A [Server] decodes requests, rejects those with ambiguous framing, and writes the
 // responses. Which rule applies, and which replica answers, is decided by the
-// [Forwarder]. [AuxiliaryServer] serves the host's other listeners, such as that for
+// [Forwarder]. [ServeAuxiliary] serves the host's other listeners, such as that for
 // metrics.
 //
 // The package is built on fasthttp, which does not detect that a caller disconnects
-// while its request is being served. The connections of a [Listener] therefore read
+// while its request is being served. The connections of a [Server] therefore read
 // ahead during that time, so that the context of the forwarder is cancelled when the
 // caller disconnects.
 package ingresshttp
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -14,18 +14,17 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bulrushshed/accept"
 	"bulrushshed/forward"
+	"bulrushshed/ingress"
 )
 
 const (
 	// readTimeout limits reading a request.
 	readTimeout = 20 * time.Second
-	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout = 75 * time.Second
 	// writeTimeout limits how long a caller may take to accept more bytes of a response.
 	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 32 << 10
-	maxBodyBytes   = 8 << 20
 )
 
 // Forwarder serves requests. ctx is cancelled when the caller disconnects.
@@ -44,7 +43,10 @@
 	// Stopping reports whether the host is stopping. If so, connections are
 	// closed after each response.
 	Stopping func() bool
-	Log      *slog.Logger
+	// Limits returns the limits of the newest configuration. It may be nil, in which case
+	// the defaults apply.
+	Limits func() ingress.Limits
+	Log    *slog.Logger
 }
 
 // Server is the HTTP server for callers.
@@ -53,17 +55,21 @@
 	opts      Options
 	forwarder Forwarder
 	http      *fasthttp.Server
+	deadlines *deadlines
 	// active counts the connections with a request that is being read or answered.
 	active atomic.Int64
 }
 
 // NewServer returns a server. Cancelling ctx cancels the requests being served.
 func NewServer(ctx context.Context, opts Options, next Forwarder) *Server {
-	s := &Server{baseCtx: ctx, opts: opts, forwarder: next}
+	s := &Server{
+		baseCtx: ctx, opts: opts, forwarder: next,
+		deadlines: &deadlines{limits: limitsOrDefault(opts.Limits), requestTimeout: readTimeout},
+	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes,
+		HeaderReceived: s.deadlines.headerReceived, ConnState: s.trackState,
+		ReadBufferSize: maxHeaderBytes, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
@@ -87,6 +93,7 @@
 	if !ok {
 		return
 	}
+	conn.trackPhase(state)
 	active := state == fasthttp.StateActive
 	if conn.active.Swap(active) == active {
 		return
@@ -98,8 +105,10 @@
 	s.active.Add(-1)
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(Listener{ln}) }
+// Serve accepts connections until the listener is closed. Transient errors do not end it.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(listener{accept.NewListener(ln, accept.Options{Log: s.opts.Log}), s.deadlines})
+}
 
 // handleError responds to a request that cannot be parsed.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
