intake, ingresshttp, hosted: connections are bounded, with descriptors kept for the rest

A host accepted connections until no descriptor was left for replicas, the store and other hosts. Its servers for the directory, readiness and metrics accepted any method, bodies of 4 MiB and any number of connections.

Change: - intake.Connections decides which connection is closed at the bound: the one that has been idle longest, first of the address with most connections, or else the one whose request makes least progress; never one whose request has been read. A connection chosen while its first byte arrives serves nothing. - max_connections, by default 0.7 of the descriptors for sockets (max_descriptors, filled from limits.max_fds, and never more than RLIMIT_NOFILE), and at most half of the request memory by 16 KiB each; max_connections_per_address, by default none. - The other servers accept GET only, no bodies, headers of 8 KiB, and 256 connections each, or 0.04 of the descriptors for sockets: three times 256 and the callers' 0.7 would leave nothing on hosts with 2,870 descriptors. - At EMFILE and the like, 16 idle connections of the server are closed, and for the other servers also of the callers' one. - Gauges bulrushshed_connections and _max, counter _closed_total by cause, and at most one log line each 100 ms for a cause, with the number omitted.

Results: tests of intake, ingresshttp, accept with the race detector, and those of the bound in daemon/hosted three times: passed. All of daemon/hosted with the race detector: passed.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -87,6 +87,8 @@
 	connector     *relay.Connector
 	meter         *meter.Meter
 	callerServer  *ingresshttp.Server
+	bounds        connectionBounds
+	refusals      *refusals
 	controller    *controller
 
 	// replicasEra is the era of the store in which the replica list was last read. Only the
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -37,6 +37,8 @@
 	grace time.Duration
 	// listen opens the listeners of a host. Nil means net.Listen.
 	listen hosted.Listen
+	// maxConnections bounds the connections of callers, or is 0 for the default.
+	maxConnections int
 }
 
 type entryHost struct {
@@ -121,6 +123,7 @@
 	cfg.StoreAddress = proxy.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(cmp.Or(f.grace, 3*time.Second))
+	cfg.MaxConnections = f.maxConnections
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -9,8 +9,6 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
-	"bulrushshed/ingress"
-	"bulrushshed/ingresshttp"
 	"bulrushshed/platform"
 )
 
@@ -30,16 +28,8 @@
 	return t != nil && fresh && !h.stopping.Load()
 }
 
-// callerLimits returns the limits of the newest configuration.
-func (h *Host) callerLimits() ingress.Limits {
-	if t := h.table.Load(); t != nil {
-		return t.Limits
-	}
-	return ingress.DefaultLimits()
-}
-
 func (h *Host) serveReady(ln net.Listener) error {
-	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) {
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case string(ctx.Path()) != platform.PathReady:
 			ctx.SetStatusCode(http.StatusNotFound)
@@ -50,11 +40,11 @@
 }
 
 func (h *Host) serveMetrics(ln net.Listener) error {
-	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })
 }
 
 func (h *Host) serveDirectory(ln net.Listener) error {
-	return ingresshttp.ServeAuxiliary(ln, h.log, func(ctx *fasthttp.RequestCtx) {
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != platform.PathAddresses {
 			ctx.SetStatusCode(http.StatusNotFound)
 			return
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -55,7 +55,9 @@
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
 		listen:    do.MustInvoke[Listen](i),
+		bounds:    newConnectionBounds(cfg, descriptorLimit()),
 	}
+	h.refusals = &refusals{meter: h.meter, log: h.log}
 	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
 	identity, err := newPeerIdentity(cfg.Name, h)
 	if err != nil {
@@ -78,7 +80,7 @@
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
-		Limits: h.callerLimits, Log: h.log,
+		Limits: h.callerLimits, Connections: h.callerConnections(), Log: h.log,
 	}, stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Limiter:    h.limiter,
@@ -144,6 +146,8 @@
 		return age.Seconds()
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
+	h.meter.Gauge("bulrushshed_connections", func() float64 { return float64(h.callerServer.Connections()) })
+	h.meter.Gauge("bulrushshed_connections_max", func() float64 { return float64(h.bounds.callers.Max) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -7,28 +7,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
-
-// listener accepts connections that keep deadlines and detect when the peer disconnects
-// while its request is served.
-type listener struct {
-	net.Listener
-	deadlines *deadlines
-}
 
-// Accept waits for the next connection and returns it.
-func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.deadlines.newConn(conn), nil
-}
+	"bulrushshed/intake"
+)
 
 // watchedConn reads one byte ahead while it is watched, to detect a disconnect.
 type watchedConn struct {
 	net.Conn
-	deadlines *deadlines
+	server *connections
 	// phase is what the connection reads next, and answered whether a request has been
 	// answered on it.
 	phase    phase
@@ -53,7 +39,10 @@
 func (c *watchedConn) Read(p []byte) (int, error) {
 	n, err := c.readNext(p)
 	if n > 0 {
-		c.beginRequest()
+		return c.received(n, err)
+	}
+	if c.phase == phaseHeader && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.closed(c, intake.CauseHeaderTimeout)
 	}
 	return n, err
 }
@@ -71,10 +60,16 @@
 	return c.Conn.Read(p)
 }
 
+// Close closes the connection.
+func (c *watchedConn) Close() error {
+	c.server.table.Remove(c)
+	return c.Conn.Close()
+}
+
 // Write writes to the connection. The timeout applies to each write, as a stream may take
 // longer in total.
 func (c *watchedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.server.deadlines.writeTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
@@ -82,8 +77,12 @@
 
 // watch calls onClose if the peer closes the connection before unwatch is called. It
 // reads one byte for that, so a disconnect after the first byte of a pipelined request
-// goes unnoticed.
+// goes unnoticed. The request must have been read completely: from here on the connection
+// is not closed at the bound.
 func (c *watchedConn) watch(onClose func()) {
+	if !c.server.table.Serve(c) {
+		onClose()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.hasReadAhead || c.readDone != nil {
--- a/ingresshttp/deadline.go
+++ b/ingresshttp/deadline.go
@@ -29,6 +29,8 @@
 	// requestTimeout bounds reading a request, header and body together. A header timeout
 	// that is longer applies to both.
 	requestTimeout time.Duration
+	// writeTimeout bounds how long a client may take to accept more bytes of a response.
+	writeTimeout time.Duration
 }
 
 // limitsOrDefault returns the source of limits, or one of the defaults if there is none.
@@ -45,20 +47,23 @@
 	return fasthttp.RequestConfig{ReadTimeout: d.requestTimeout, MaxRequestBodySize: d.limits().BodyBytes}
 }
 
-// newConn returns a connection that waits for the first byte of a request.
-func (d *deadlines) newConn(conn net.Conn) *watchedConn {
-	c := &watchedConn{Conn: conn, deadlines: d}
-	c.awaitRequest()
-	return c
-}
-
 // awaitRequest starts the time that the connection may be idle. Only the goroutine that
 // serves the connection calls it and the other methods that change the phase, and the one
 // that accepts connections before that.
 func (c *watchedConn) awaitRequest() {
 	c.phase = phaseIdle
 	// It fails only if the connection has ended, which the next read reports.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.deadlines.limits().IdleTimeout))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.deadlines.limits().IdleTimeout))
+}
+
+// received records that bytes of a request have been read. It fails if the connection has
+// been closed at the bound meanwhile, so that the request is not served.
+func (c *watchedConn) received(n int, err error) (int, error) {
+	if !c.server.table.Read(c, n, time.Now()) {
+		return 0, net.ErrClosed
+	}
+	c.beginRequest()
+	return n, err
 }
 
 // beginRequest starts the time for the header, if the connection was idle.
@@ -67,7 +72,7 @@
 		return
 	}
 	c.phase = phaseHeader
-	c.headerTimeout = c.deadlines.limits().HeaderTimeout
+	c.headerTimeout = c.server.deadlines.limits().HeaderTimeout
 	c.beganAt = time.Now()
 	_ = c.Conn.SetReadDeadline(c.beganAt.Add(c.headerTimeout))
 }
@@ -78,7 +83,7 @@
 func (c *watchedConn) SetReadDeadline(t time.Time) error {
 	if c.phase == phaseHeader {
 		c.phase = phaseRequest
-		t = c.beganAt.Add(max(c.deadlines.requestTimeout, c.headerTimeout))
+		t = c.beganAt.Add(max(c.server.deadlines.requestTimeout, c.headerTimeout))
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -90,11 +95,13 @@
 		// The first bytes of a pipelined request are in fasthttp's buffer already. The first
 		// request of a connection may be reported before any byte of it was read, and begins
 		// with that byte.
-		if c.answered {
+		if c.answered && c.phase == phaseIdle {
+			c.server.table.Read(c, 0, time.Now())
 			c.beginRequest()
 		}
 	case fasthttp.StateIdle:
 		c.answered = true
+		c.server.table.Idle(c, time.Now())
 		c.awaitRequest()
 	default:
 	}
--- a/ingresshttp/doc.go
+++ b/ingresshttp/doc.go
@@ -3,8 +3,8 @@
 //
 // A [Server] decodes requests, rejects those with ambiguous framing, and writes the
 // responses. Which rule applies, and which replica answers, is decided by the
-// [Forwarder]. [ServeAuxiliary] serves the host's other listeners, such as that for
-// metrics.
+// [Forwarder]. An [AuxiliaryServer] serves one of the host's other listeners, such as
+// that for metrics.
 //
 // The package is built on fasthttp, which does not detect that a caller disconnects
 // while its request is being served. The connections of a [Server] therefore read
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -14,7 +14,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"bulrushshed/accept"
 	"bulrushshed/forward"
 	"bulrushshed/ingress"
 )
@@ -46,7 +45,9 @@
 	// Limits returns the limits of the newest configuration. It may be nil, in which case
 	// the defaults apply.
 	Limits func() ingress.Limits
-	Log    *slog.Logger
+	// Connections bounds the connections.
+	Connections ConnectionOptions
+	Log         *slog.Logger
 }
 
 // Server is the HTTP server for callers.
@@ -55,7 +56,7 @@
 	opts      Options
 	forwarder Forwarder
 	http      *fasthttp.Server
-	deadlines *deadlines
+	conns     *connections
 	// active counts the connections with a request that is being read or answered.
 	active atomic.Int64
 }
@@ -64,11 +65,13 @@
 func NewServer(ctx context.Context, opts Options, next Forwarder) *Server {
 	s := &Server{
 		baseCtx: ctx, opts: opts, forwarder: next,
-		deadlines: &deadlines{limits: limitsOrDefault(opts.Limits), requestTimeout: readTimeout},
+		conns: newConnections(opts.Connections, &deadlines{
+			limits: limitsOrDefault(opts.Limits), requestTimeout: readTimeout, writeTimeout: writeTimeout,
+		}),
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError,
-		HeaderReceived: s.deadlines.headerReceived, ConnState: s.trackState,
+		HeaderReceived: s.conns.deadlines.headerReceived, ConnState: s.trackState,
 		ReadBufferSize: maxHeaderBytes, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
@@ -107,9 +110,16 @@
 
 // Serve accepts connections until the listener is closed. Transient errors do not end it.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(listener{accept.NewListener(ln, accept.Options{Log: s.opts.Log}), s.deadlines})
+	return s.http.Serve(s.conns.listen(ln, s.opts.Log))
 }
 
+// Connections returns the number of connections.
+func (s *Server) Connections() int { return s.conns.table.Len() }
+
+// CloseIdle closes some idle connections, for other parts of the host that need
+// descriptors.
+func (s *Server) CloseIdle() { s.conns.closeIdle() }
+
 // handleError responds to a request that cannot be parsed.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -110,6 +110,11 @@
 	m.count("bulrushshed_hedges_total", "class", m.classes.limit(class))
 }
 
+// ConnectionClosed counts a connection that was closed for a cause other than its client.
+func (m *Meter) ConnectionClosed(cause string) {
+	m.count("bulrushshed_connections_closed_total", "cause", cause)
+}
+
 // Retried counts a call that was retried at another replica.
 func (m *Meter) Retried(class string) {
 	m.count("bulrushshed_retries_total", "class", m.classes.limit(class))
--- a/settings/check.go
+++ b/settings/check.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// countOrZero requires a value from 0 to limit.
+func (c *checker) countOrZero(field string, got, limit int) {
+	if got < 0 || got > limit {
+		c.addFault(field, fmt.Sprint(got), fmt.Sprintf("0 to %d", limit))
+	}
+}
+
 func (c *checker) positive(field string, got Duration) {
 	if got <= 0 {
 		c.addFault(field, got.D().String(), "a positive duration")
--- a/settings/host.go
+++ b/settings/host.go
@@ -26,6 +26,14 @@
 	StoreAddress     string `json:"store_address"`
 	// MemoryMB is the memory limit of the process.
 	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open, of which 200
+	// are reserved for files. 0 means the limit of the process.
+	MaxDescriptors int `json:"max_descriptors"`
+	// MaxConnections bounds the connections of callers. 0 means as many as descriptors and
+	// memory permit. MaxConnectionsPerAddress bounds those of one IP address, or IPv6 network
+	// of 64 bits; 0 means no bound, as many callers may share an address.
+	MaxConnections           int `json:"max_connections"`
+	MaxConnectionsPerAddress int `json:"max_connections_per_address"`
 	// ProcessorShare is the processor time that the host may use, in cores, and
 	// LinkMbps the bandwidth of its link.
 	ProcessorShare float64 `json:"processor_share"`
@@ -45,6 +53,14 @@
 	Log         Log      `json:"log"`
 }
 
+const (
+	// minDescriptors is the least number of descriptors with which a host can serve: 200 are
+	// for files, and it needs some for the store, other hosts and replicas.
+	minDescriptors = 300
+	// MaxDescriptors is the largest number of descriptors that a host uses.
+	MaxDescriptors = maxCount
+)
+
 // DefaultHost returns the defaults of the fields that a file may omit.
 func DefaultHost() Host {
 	return Host{
@@ -89,6 +105,11 @@
 	c.address("peer_address", h.PeerAddress)
 	c.address("store_address", h.StoreAddress)
 	c.count("memory_mb", h.MemoryMB, maxCount)
+	if h.MaxDescriptors != 0 && (h.MaxDescriptors < minDescriptors || h.MaxDescriptors > MaxDescriptors) {
+		c.addFault("max_descriptors", fmt.Sprint(h.MaxDescriptors), fmt.Sprintf("0 or %d to %d", minDescriptors, MaxDescriptors))
+	}
+	c.countOrZero("max_connections", h.MaxConnections, maxCount)
+	c.countOrZero("max_connections_per_address", h.MaxConnectionsPerAddress, maxCount)
 	c.positive("revoke", h.Revoke)
 	c.positive("grace", h.Grace)
 	c.positive("addresses_valid_max", h.AddressesValidMax)
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -41,6 +41,31 @@
 	is.Equal(len(e.Faults), 6)
 }
 
+func TestParseHostChecksBounds(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		fields string
+		faults int
+	}{
+		{`"max_descriptors": 0, "max_connections": 0, "max_connections_per_address": 0`, 0},
+		{`"max_descriptors": 4100, "max_connections": 2000, "max_connections_per_address": 100`, 0},
+		{`"max_descriptors": 200`, 1},
+		{`"max_descriptors": 10000001`, 1},
+		{`"max_descriptors": -1, "max_connections": -1, "max_connections_per_address": -1`, 3},
+	} {
+		t.Run(c.fields, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, err := settings.ParseHost([]byte(strings.Replace(validHostSettings, `"memory_mb"`, c.fields+`, "memory_mb"`, 1)))
+			var e *settings.Error
+			is.Equal(errors.As(err, &e), c.faults > 0)
+			if e != nil {
+				is.Equal(len(e.Faults), c.faults)
+			}
+		})
+	}
+}
+
 func FuzzParseHost(f *testing.F) {
 	f.Add([]byte(validHostSettings))
 	f.Add([]byte(`{"name": 1}`))
