--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -37,6 +37,10 @@
 	grace time.Duration
 	// adjust changes the settings of host n, if it is not nil.
 	adjust func(n int, cfg *settings.Host)
+	// listen opens the listeners of a host. Nil means net.Listen.
+	listen hosted.Listen
+	// maxConnections bounds the connections of callers, or is 0 for the default.
+	maxConnections int
 }
 
 type entryHost struct {
@@ -124,6 +128,7 @@
 	if f.adjust != nil {
 		f.adjust(n, &cfg)
 	}
+	cfg.MaxConnections = f.maxConnections
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
@@ -131,6 +136,9 @@
 	h := &entryHost{cfg: cfg, proxy: proxy, links: &links{}, stop: cancel, done: make(chan error, 1)}
 	injector := hosted.Wire(cfg)
 	do.OverrideValue(injector, hosted.DirectDial(h.links.dial))
+	if f.listen != nil {
+		do.OverrideValue(injector, f.listen)
+	}
 	go func() { h.done <- hosted.Run(ctx, injector) }()
 	t.Cleanup(func() {
 		cancel()
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -9,7 +9,6 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
-	"bulrushshed/ingresshttp"
 	"bulrushshed/platform"
 )
 
@@ -30,22 +29,22 @@
 }
 
 func (h *Host) serveReady(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) {
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case string(ctx.Path()) != platform.PathReady:
 			ctx.SetStatusCode(http.StatusNotFound)
 		case !h.ready():
 			ctx.SetStatusCode(http.StatusServiceUnavailable)
 		}
-	})(ln)
+	})
 }
 
 func (h *Host) serveMetrics(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })(ln)
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) { h.meter.Write(ctx) })
 }
 
 func (h *Host) serveDirectory(ln net.Listener) error {
-	return ingresshttp.AuxiliaryServer(func(ctx *fasthttp.RequestCtx) {
+	return h.serveAuxiliary(ln, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != platform.PathAddresses {
 			ctx.SetStatusCode(http.StatusNotFound)
 			return
@@ -63,7 +62,7 @@
 		}
 		ctx.SetContentType("application/json")
 		ctx.SetBody(body)
-	})(ln)
+	})
 }
 
 // addresses returns the addresses that a caller in a failure domain should use.
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"time"
 
@@ -29,11 +30,15 @@
 // DirectDial opens the connections of a host to replicas.
 type DirectDial replicahttp.Dial
 
+// Listen opens the listeners of a host.
+type Listen func(network, address string) (net.Listener, error)
+
 // Wire returns an injector that provides a [Host] with the given settings.
 func Wire(cfg settings.Host) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, cfg)
 	do.ProvideValue(i, DirectDial(replicahttp.DialDirect))
+	do.ProvideValue(i, Listen(net.Listen))
 	do.Provide(i, newHost)
 	return i
 }
@@ -50,7 +55,10 @@
 		replicas:  replica.NewList(outageGracePeriod),
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
+		listen:    do.MustInvoke[Listen](i),
+		bounds:    newConnectionBounds(cfg, descriptorLimit()),
 	}
+	h.refusals = &refusals{meter: h.meter, log: h.log}
 	h.store = platform.NewStore(platform.StoreOptions{
 		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
 	})
@@ -88,6 +96,7 @@
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
 		Ledger: h.ledger, BodyPace: intake.Pace{Grace: cfg.BodyGrace.D(), BytesPerSecond: cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
+		Limits: h.callerLimits, Connections: h.callerConnections(),
 		Log: h.log,
 	}, next)
 	h.registerGauges()
@@ -147,6 +156,8 @@
 	h.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(h.ledger.Stats().Reserved) })
 	h.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(h.ledger.Stats().Capacity) })
 	h.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(h.ledger.Stats().Evicted) })
+	h.meter.Gauge("bulrushshed_connections", func() float64 { return float64(h.callerServer.Connections()) })
+	h.meter.Gauge("bulrushshed_connections_max", func() float64 { return float64(h.bounds.callers.Max) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
--- a/ingresshttp/body_test.go
+++ b/ingresshttp/body_test.go
@@ -77,8 +77,8 @@
 // chunk returns one chunk of n bytes.
 func chunk(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
 
-// isClosed reports whether the server has closed the connection.
-func isClosed(r *bufio.Reader) bool {
+// readsNoMore reports whether the server has closed the connection.
+func readsNoMore(r *bufio.Reader) bool {
 	_, err := r.ReadByte()
 	return err != nil
 }
@@ -201,7 +201,7 @@
 				is.Equal(h.requests()[0].Target, "/next")
 				return
 			}
-			is.True(isClosed(r))
+			is.True(readsNoMore(r))
 			is.Equal(len(h.requests()), 0)
 			_ = conn.Close()
 			<-sent
@@ -250,9 +250,9 @@
 	is.Equal(string(h.requests()[0].Body), "abcde")
 }
 
-// pipes serves callers over pipes, whose time synctest advances. stop must be called at the
+// servePipe serves callers over pipes, whose time synctest advances. stop must be called at the
 // end.
-func pipes(t *testing.T, s *ingresshttp.Server) (connect func() net.Conn, stop func()) {
+func servePipe(t *testing.T, s *ingresshttp.Server) (connect func() net.Conn, stop func()) {
 	t.Helper()
 	ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	done := make(chan error, 1)
@@ -300,7 +300,7 @@
 				h := &recordingForwarder{respond: respondWith(200, "ok")}
 				causes := map[string]int{}
 				ledger := intake.NewLedger(64 * mebibyte)
-				connect, stop := pipes(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) {
+				connect, stop := servePipe(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) {
 					o.Ledger, o.CountRefusal = ledger, func(cause string) { causes[cause]++ }
 				}))
 				defer stop()
--- a/ingresshttp/doc.go
+++ b/ingresshttp/doc.go
@@ -3,8 +3,8 @@
 //
 // A [Server] decodes requests, rejects those with ambiguous framing, and writes the
 // responses. Which rule applies, and which replica answers, is decided by the
-// [Forwarder]. [AuxiliaryServer] serves the host's other listeners, such as that for
-// metrics.
+// [Forwarder]. An [AuxiliaryServer] serves one of the host's other listeners, such as
+// that for metrics.
 //
 // The server reads the bodies of requests itself, into buffers that are reserved in a
 // [intake.Ledger] before. A body reaches the forwarder completely or not at all. Requests
@@ -12,7 +12,7 @@
 // on which more than a short rest of a body is left are closed after the answer.
 //
 // The package is built on fasthttp, which does not detect that a caller disconnects
-// while its request is being served. The connections of a [Listener] therefore read
+// while its request is being served. The connections of a [Server] therefore read
 // ahead during that time, so that the context of the forwarder is cancelled when the
 // caller disconnects.
 package ingresshttp
--- a/ingresshttp/memory.go
+++ b/ingresshttp/memory.go
@@ -75,22 +75,12 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
-// SetReadDeadline sets the deadline of reads, unless the request is evicted and its reads
-// must end.
-func (c *watchedConn) SetReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	if c.evicted.Load() {
-		err = c.Conn.SetReadDeadline(past)
-	}
-	return err
-}
-
 // beginWrite sets the deadline of a write and records that it begins.
 func (c *watchedConn) beginWrite() error {
 	if c.memory.ledger != nil {
 		c.memory.ledger.BeginWrite(&c.memory.entry, time.Now())
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.server.deadlines.writeTimeout)); err != nil {
 		return err
 	}
 	if c.writeEvicted.Load() {
--- a/intake/doc.go
+++ b/intake/doc.go
@@ -7,9 +7,11 @@
 // be running. If there is nothing to evict, the requesting entry waits shortly and is then
 // refused.
 //
-// [Pace] decides until when the next bytes of a body must arrive, and [LogLimiter] which
-// refusals are logged.
+// [Connections] bounds the connections of a server and chooses which one to close at the
+// bound. [Pace] decides until when the next bytes of a body must arrive, and [LogLimiter]
+// which refusals are logged.
 //
 // The package reads no clock, does no I/O and starts no goroutine. It tells the owner of an
-// entry through [Holder] that the entry is evicted.
+// entry through [Holder] that the entry is evicted; whoever uses the other types closes the
+// connections.
 package intake
