forward: large events are not read ahead of the caller

A caller that reads nothing made a host hold six events of its stream: the one being written, four in the attempt's channel and the one being read. With 200 such callers and events of 250 KiB a host of 128 MB held 204 MB.

While the caller has not taken the events before it, no more than 8 KiB of an event are read now. Small events are read ahead as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -24,7 +24,11 @@
 	progress  *pipeline.StreamProgress
 	// updates receives the head of the answer, followed by its events.
 	updates chan update
-	cancel  context.CancelFunc
+	// window bounds the bytes of the events in updates and of the one that the caller takes.
+	window eventWindow
+	cancel context.CancelFunc
+	// takenBytes is the size of the events taken from updates whose bytes are still held.
+	takenBytes int
 	// release ends the reservation of the path in the planner.
 	release func()
 	// headReceived is set once the first update has been received, even if that is
@@ -93,7 +97,13 @@
 	if err != nil || failed || answer.NotRun {
 		return
 	}
-	readEvents(ctx, answer.Body, a.updates)
+	readEvents(ctx, answer.Body, &a.window, a.updates)
+}
+
+// releaseTaken lets the reader go on once the caller has taken the events.
+func (a *attempt) releaseTaken() {
+	a.window.release(a.takenBytes)
+	a.takenBytes = 0
 }
 
 // stop ends the attempt and releases its resources.
--- a/forward/events.go
+++ b/forward/events.go
@@ -27,10 +27,11 @@
 
 // readEvents sends each event to out until the stream ends, and the end as the last
 // one. It stops early when ctx ends.
-func readEvents(ctx context.Context, body io.Reader, out chan<- update) {
+func readEvents(ctx context.Context, body io.Reader, w *eventWindow, out chan<- update) {
 	r := bufio.NewReaderSize(body, 4096)
 	for {
-		e := readEvent(r)
+		e := readEvent(ctx, r, w)
+		w.add(len(e.bytes))
 		select {
 		case out <- update{event: e}:
 		case <-ctx.Done():
@@ -44,9 +45,15 @@
 
 // readEvent reads up to the next blank line that ends an event. If the stream ends
 // or breaks before that, err is set, and the bytes read so far are not an event.
-func readEvent(r *bufio.Reader) event {
+func readEvent(ctx context.Context, r *bufio.Reader, w *eventWindow) event {
 	var e event
 	for {
+		if len(e.bytes) > smallEventBytes {
+			if err := w.await(ctx); err != nil {
+				e.err = err
+				return e
+			}
+		}
 		line, err := r.ReadSlice('\n')
 		e.bytes = append(e.bytes, line...)
 		switch {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -143,6 +143,7 @@
 // nextEvent returns the next event that the caller has not received, with err set to
 // io.EOF at the complete end of the stream. Otherwise it returns why there is none.
 func (s *stream) nextEvent() (e event, cause string) {
+	s.attempt.releaseTaken()
 	timer := time.NewTimer(s.stallTimeout())
 	defer timer.Stop()
 	for {
@@ -154,6 +155,7 @@
 			}
 			if cause == "" && u.answer == nil {
 				// A repeated event must not postpone the next check.
+				s.attempt.releaseTaken()
 				continue
 			}
 		case <-timer.C:
@@ -177,6 +179,7 @@
 	if !open {
 		return event{}, causeBroken
 	}
+	s.attempt.takenBytes += len(u.event.bytes)
 	if !s.attempt.answered {
 		return event{}, s.handleHead(u)
 	}
--- a/ingresshttp/response.go
+++ b/ingresshttp/response.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// queuedEvents is how many events of a stream a caller that does not read holds: the one
-// being written, those that wait in the attempt's channel, and the one being read.
-const queuedEvents = 6
+const (
+	// queuedEvents is how many further events are read while a caller takes one: those that
+	// wait in the attempt's channel, and the one being read.
+	queuedEvents = 5
+	// queuedEventBytes is how much of each of them is read.
+	queuedEventBytes = 8 << 10
+)
 
 // hold records that the response of a request holds n bytes.
 func (m *requestMemory) hold(n int) { m.ledger.SetResponse(&m.entry, n, time.Now()) }
@@ -26,8 +30,8 @@
 	return &streamBody{ReadCloser: body, memory: m, release: release}
 }
 
-// Read reads from the stream. It reserves the memory of the largest event for all events
-// that the stream may hold.
+// Read reads from the stream. It reserves the memory of the events that the stream may hold
+// if they are as large as the largest one so far.
 func (b *streamBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	size := n
@@ -36,7 +40,7 @@
 	}
 	if size > b.largest {
 		b.largest = size
-		b.memory.hold(queuedEvents * size)
+		b.memory.hold(size + queuedEvents*min(size, queuedEventBytes))
 	}
 	return n, err
 }
