hosted: read the members again once all that joined together are listed

Cause: the store lists a host once it owns a partition. The hosts that joined before it give one up with a later heartbeat, which does not change the group's generation. Hosts read the list 0.3 s after they joined, and again only when the generation changed.

A host that is not listed, or reads the list for others, now reads it again, 2 s (two heartbeats) after a change, and of two lists of one generation the longer one wins, at followers too.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -140,10 +140,10 @@
 	// missed in the meantime.
 	c.skipWait = true
 	sentAt := c.host.freshness.Now()
-	members := c.host.group.membersGeneration()
+	members, memberCount := c.host.group.knownMembers()
 	resp, err := c.host.feed.poll(ctx, from, feed.Request{
 		Topic: c.topic, Next: c.next.Offset, Era: c.next.Era, KnowsEras: true, CurrentAsOf: c.sourceCurrentAsOf,
-		Generation: members.Number, GroupEra: members.Era, Wait: feedPollTimeout, WaitForReader: !c.connected,
+		Generation: members.Number, GroupEra: members.Era, MemberCount: memberCount, Wait: feedPollTimeout, WaitForReader: !c.connected,
 	})
 	if err != nil {
 		if c.connected && ctx.Err() == nil {
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -37,6 +37,9 @@
 	// backup that the store was restored from lists the members of some time ago, and all
 	// hosts renew their membership within this time.
 	rejoinDelay = (followerHeartbeatTicks + 1) * heartbeatInterval
+	// handoverTime is how long after a change of the group all members are listed: within
+	// two heartbeats each gives up the partitions that it no longer owns.
+	handoverTime = 2*followerHeartbeatTicks*heartbeatInterval + 200*time.Millisecond
 	// maxHosts is the number of hosts up to which all are visible as members, and
 	// partitionsPerTopic the number of partitions of a group topic.
 	maxHosts           = 408
@@ -75,6 +78,11 @@
 	// peersGeneration is the generation of the group that peers belong to.
 	peersGeneration feed.Generation
 	peers           []Peer
+	// nameCount is the number of names in the list of the members, and listed is set if
+	// this host's is among them. The list is read again at rereadAt, unless that is zero.
+	nameCount int
+	listed    bool
+	rereadAt  time.Time
 	// pins holds the certificate pins of all members. source is the host from
 	// which this one receives changes, or nil if it reads the store itself.
 	pins   map[string]bool
@@ -147,7 +155,11 @@
 	if g.ticks++; g.host.stopping.Load() || g.ticks%followerHeartbeatTicks != 0 && !g.isReader() {
 		return
 	}
-	if generation, ok := g.join(); ok && generation != g.membersGeneration() && !g.host.feed.hasRecentResponse() && !g.rejoining() {
+	generation, ok := g.join()
+	if !ok || g.rejoining() || g.host.feed.hasRecentResponse() {
+		return
+	}
+	if generation != g.membersGeneration() || g.membersDue(time.Now()) {
 		g.readMembers(generation)
 	}
 }
--- a/daemon/hosted/members.go
+++ b/daemon/hosted/members.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -40,6 +41,31 @@
 	g.setMembers(feed.Members{Era: era, Generation: generation.Number, Names: names})
 }
 
+// membersDue reports whether members are missing in the list of a generation. The store
+// lists a host once it owns a partition, and the hosts that joined before it give one up
+// only with their next heartbeats; the generation does not change then. With 195 hosts
+// that started at once, 64 were listed, and the others read the store for themselves.
+func (g *group) membersDue(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.listed && !g.left {
+		return true
+	}
+	if g.rereadAt.IsZero() || now.Before(g.rereadAt) {
+		return false
+	}
+	g.rereadAt = time.Time{}
+	return true
+}
+
+// knownMembers returns the generation of the members that this host knows, and their
+// number.
+func (g *group) knownMembers() (feed.Generation, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peersGeneration, g.nameCount
+}
+
 // membersGeneration returns the generation of the members that this host knows.
 func (g *group) membersGeneration() feed.Generation {
 	g.mu.Lock()
@@ -54,10 +80,15 @@
 	peers := lo.FilterMap(m.Names, func(name string, _ int) (Peer, bool) { return parseMemberName(name) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.At().Compare(g.peersGeneration) <= 0 {
+	if !m.Supersedes(g.peersGeneration, g.nameCount) {
 		return
 	}
+	if m.At() != g.peersGeneration {
+		g.rereadAt = time.Now().Add(handoverTime)
+	}
 	g.peersGeneration = m.At()
+	g.nameCount = len(m.Names)
+	g.listed = slices.Contains(m.Names, g.memberName)
 	g.pins = lo.SliceToMap(peers, func(p Peer) (string, bool) { return p.Pin, true })
 	if !g.left {
 		g.source = g.selectSource(peers)
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -34,6 +34,9 @@
 	// which they joined.
 	members    []member
 	generation int64
+	// handsOver is set if a member is listed only once all that joined before it have sent a
+	// heartbeat with a generation in which it was a member.
+	handsOver bool
 	// memberReads counts the reads of the group members.
 	memberReads int
 	down        bool
@@ -144,6 +147,8 @@
 	name          string
 	lastHeartbeat time.Time
 	ttl           time.Duration
+	// joinedIn is the generation in which it joined, and knows the last one that it named.
+	joinedIn, knows int64
 }
 
 func newStore(t *testing.T) *store {
@@ -265,6 +270,12 @@
 	s.down = down
 }
 
+func (s *store) setHandsOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handsOver = true
+}
+
 func (s *store) memberReadCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -338,6 +349,8 @@
 	Member string   `json:"member"`
 	Topics []string `json:"topics"`
 	TTLMS  int64    `json:"ttl_ms"`
+	// Generation is the last one that the store has returned to the member.
+	Generation int64 `json:"generation"`
 }
 
 func (s *store) join(w http.ResponseWriter, r *http.Request) {
@@ -353,7 +366,9 @@
 		i = len(s.members)
 		s.members = append(s.members, member{name: in.Member})
 		s.generation++
+		s.members[i].joinedIn = s.generation
 	}
+	s.members[i].knows = in.Generation
 	s.members[i].lastHeartbeat = now
 	s.members[i].ttl = ttl
 	parts := "[]"
@@ -388,6 +403,10 @@
 	s.memberReads++
 	var rows []string
 	for i, m := range s.members {
+		waits := slices.ContainsFunc(s.members[:i], func(earlier member) bool { return earlier.knows < m.joinedIn })
+		if s.handsOver && waits {
+			continue
+		}
 		rows = append(rows, fmt.Sprintf(`["hosts0",%d,%q,0]`, i, m.name))
 	}
 	_, _ = fmt.Fprintf(w, `{"generation":%d,"parts":[%s]}`, s.generation, strings.Join(rows, ","))
--- a/feed/log.go
+++ b/feed/log.go
@@ -144,11 +144,11 @@
 	l.storeReachedAt = max(l.storeReachedAt, at)
 }
 
-// SetMembers replaces the group members if m is of a newer generation.
+// SetMembers replaces the group members if m is of a newer generation, or has more of them.
 func (l *Log) SetMembers(m Members) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m.At().Compare(l.members.At()) <= 0 {
+	if !m.Supersedes(l.members.At(), len(l.members.Names)) {
 		return
 	}
 	l.members = m
@@ -209,7 +209,7 @@
 		return resp, t.changed, r.readerWait()
 	}
 	resp.Direct = true
-	if l.members.At().Compare(r.members(l.members.Era)) > 0 {
+	if l.members.Supersedes(r.members(l.members.Era), r.memberCount(len(l.members.Names))) {
 		known := l.members
 		resp.Members = &known
 	}
--- a/feed/message.go
+++ b/feed/message.go
@@ -38,6 +38,9 @@
 	// GroupEra its era of the store.
 	Generation int64 `cbor:"generation"`
 	GroupEra   int64 `cbor:"group_era,omitempty"`
+	// MemberCount is the number of members that the follower knows of that generation, or
+	// 0 from a host of an older version, which replaces them with a newer generation only.
+	MemberCount int `cbor:"member_count,omitempty"`
 	// Wait bounds how long the host may hold the request until there are
 	// changes.
 	Wait time.Duration `cbor:"wait"`
@@ -65,6 +68,14 @@
 	return Generation{Era: era, Number: r.Generation}
 }
 
+// memberCount returns how many members the follower knows, or all for an older version.
+func (r Request) memberCount(all int) int {
+	if r.MemberCount == 0 {
+		return all
+	}
+	return r.MemberCount
+}
+
 // Members lists the hosts of the group in one generation, which is of an era of the
 // store.
 type Members struct {
@@ -73,6 +84,14 @@
 	Names      []string `cbor:"names"`
 }
 
+// Supersedes reports whether a list of members replaces one that has the given generation
+// and number of names. Members of one generation become visible one after the other, so
+// of two lists of a generation the longer one was read later.
+func (m Members) Supersedes(at Generation, names int) bool {
+	order := m.At().Compare(at)
+	return order > 0 || order == 0 && len(m.Names) > names
+}
+
 // At returns the generation of the members.
 func (m Members) At() Generation { return Generation{Era: m.Era, Number: m.Generation} }
 
@@ -97,7 +116,7 @@
 	// Fetch is set if the page is too large to be relayed, so that the follower
 	// must read it from the store.
 	Fetch bool `cbor:"fetch,omitempty"`
-	// Members is set if the follower knows an older generation.
+	// Members is set if the follower knows an older generation, or fewer members of it.
 	Members *Members `cbor:"members,omitempty"`
 	// Now is when the host answered, CurrentAsOf when it sent the read that
 	// brought the page up to date, and StoreReachedAt when it sent the last
