--- a/daemon/hosted/members.go
+++ b/daemon/hosted/members.go
@@ -41,20 +41,21 @@
 	g.setMembers(feed.Members{Era: era, Generation: generation.Number, Names: names})
 }
 
-// membersDue reports whether members are missing in the list of a generation. The store
+// membersDue reports whether members may be missing in the list of a generation, which is
+// looked at once, and again while this host is missing. The store
 // lists a host once it owns a partition, and the hosts that joined before it give one up
 // only with their next heartbeats; the generation does not change then. With 195 hosts
 // that started at once, 64 were listed, and the others read the store for themselves.
 func (g *group) membersDue(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.listed && !g.left {
-		return true
-	}
-	if g.rereadAt.IsZero() || now.Before(g.rereadAt) {
+	if g.left || g.rereadAt.IsZero() || now.Before(g.rereadAt) {
 		return false
 	}
 	g.rereadAt = time.Time{}
+	if !g.listed {
+		g.rereadAt = now.Add(handoverTime)
+	}
 	return true
 }
 
