feed: followers of a responding source read the store less in an outage

It still reads the store itself, in case the store refuses the source alone. Readers, and followers of silent sources, are unchanged.

--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -73,6 +73,9 @@
 	source            string
 	sourceCurrentAsOf time.Duration
 	clockOffset       feed.ClockOffset
+	// sourceResponds is set if the source answered the last poll, even if it can't read
+	// the store either.
+	sourceResponds bool
 	// avoidedSource names the source that failed last. It is not polled before
 	// avoidedUntil.
 	avoidedSource string
@@ -121,13 +124,24 @@
 		c.backoff.RecordSuccess()
 		return
 	}
-	wait := c.backoff.RecordFailure(hasSource)
+	wait := c.backoff.RecordFailure(c.role(hasSource))
 	c.retryAt = time.Now().Add(wait)
 	if !hasSource {
 		loop.SleepContext(ctx, wait)
 	}
 }
 
+// role returns from whom this host receives the topic while it can't read the store.
+func (c *cursor) role(hasSource bool) feed.Role {
+	switch {
+	case !hasSource:
+		return feed.Reader
+	case c.sourceResponds:
+		return feed.WaitingFollower
+	}
+	return feed.Follower
+}
+
 // pollSource receives changes from a host that reads the store, and reports
 // whether it succeeded.
 func (c *cursor) pollSource(ctx context.Context, from Peer) (ok bool) {
@@ -145,6 +159,9 @@
 		Topic: c.topic, Next: c.next.Offset, Era: c.next.Era, KnowsEras: true, CurrentAsOf: c.sourceCurrentAsOf,
 		Generation: members.Number, GroupEra: members.Era, Wait: feedPollTimeout, WaitForReader: !c.connected,
 	})
+	if ctx.Err() == nil {
+		c.sourceResponds = err == nil || errors.Is(err, errUnusableResponse)
+	}
 	if err != nil {
 		if c.connected && ctx.Err() == nil {
 			c.host.log.Info("feed: polling the source failed, reading the store instead", "topic", c.topic, "from", from.Name, "cause", err.Error())
