hosted: tell callers the hosts of highest capacity, eight in a large domain

Callers of a failure domain got all of its hosts, up to 30 on a fleet of 91, so each host had one to three streams: too few to know how much the engines can take, and a share of the retry budget too small to use.

The directory now names the eight hosts of highest capacity in a domain (ties by hash), more while a quarter of them reports that it used over half of its processor share. The planner divides by these hosts in place of all. Domains of eight hosts or fewer are as before.

Not counted yet: the use of a host's link.

--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -86,7 +86,7 @@
 func (f *findings) apply(_ context.Context, items []gossip.Item, _ string) {
 	now := time.Now()
 	for _, i := range items {
-		if i.Key == configKey || (replicaStates{f.host}).merge(i, now) {
+		if i.Key == configKey || isLoadReport(i) || (replicaStates{f.host}).merge(i, now) {
 			continue
 		}
 		finding, ok := quarantine.ParseItem(i)
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -80,6 +80,7 @@
 	limits        *ratelimit.Limits
 	limiter       *ratelimit.Limiter
 	group         *group
+	serving       *servingHosts
 	feed          *feedRelay
 	dialer        *relay.Dialer
 	connector     *relay.Connector
@@ -139,6 +140,7 @@
 		loop.Every(loopCtx, catchUpInterval, h.catchUpConfig),
 		loop.Every(loopCtx, controlInterval, h.controller.placeAll),
 		loop.Every(loopCtx, cleanupInterval, h.cleanUp),
+		loop.Every(loopCtx, loadInterval, h.serving.report),
 	}
 	h.log.Info("host: serving", "callers", h.cfg.CallerAddress, "store", h.cfg.StoreAddress, "domain", h.cfg.FailureDomain)
 	select {
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -73,11 +73,11 @@
 	if len(peers) == 0 && h.ready() {
 		return []string{h.cfg.CallerAddress}
 	}
-	local := lo.Filter(peers, func(p Peer, _ int) bool { return p.FailureDomain == domain })
-	if len(local) >= minLocalHosts {
-		peers = local
+	selected := h.serving.inDomain(domain)
+	if len(selected) < minLocalHosts {
+		selected = h.serving.all()
 	}
-	all := lo.Map(peers, func(p Peer, _ int) string { return p.Address })
+	all := lo.Map(selected, func(p Peer, _ int) string { return p.Address })
 	if !h.ready() {
 		all = slices.DeleteFunc(all, func(a string) bool { return a == h.cfg.CallerAddress })
 	}
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -56,12 +56,13 @@
 		return nil, err
 	}
 	h.group = newGroup(h, identity.pin)
+	h.serving = newServingHosts(h)
 	h.dialer = newDialer(h, do.MustInvoke[DirectDial](i))
 	h.connector = relay.NewConnector(h.dialer, h.acceptsRelayed)
 	if h.feed, err = newFeedRelay(h, identity); err != nil {
 		return nil, err
 	}
-	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.group.localSize})
+	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.serving.localSize})
 	h.controller = newController(h)
 	h.findings = newFindings(h)
 	h.quarantine = quarantine.New(quarantine.Options{
@@ -137,6 +138,7 @@
 		return age.Seconds()
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
+	h.meter.Gauge("bulrushshed_serving_hosts", func() float64 { return float64(len(h.serving.all())) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
