--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -116,6 +116,7 @@
 	}
 	if u.event.err != nil {
 		a.err = u.event.err
+		s.f.Planner.RecordAnswer(a.first.Address, true, time.Now())
 		s.markMayHaveRun(a.first)
 		return causeBrokenAnswer
 	}
@@ -130,6 +131,7 @@
 		return "failed_by_replica"
 	}
 	a.answered = true
+	s.f.Planner.RecordAnswer(a.first.Address, false, time.Now())
 	if s.head == nil {
 		s.head = u.answer
 	}
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -129,4 +129,5 @@
 			delete(p.reports, address)
 		}
 	}
+	p.expireBroken(now)
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -52,6 +52,8 @@
 	suspects map[string]suspicion
 	// reports are the latest reports by engine.
 	reports map[string]report
+	// broken has the engines whose answers broke off lately.
+	broken map[string]brokenRate
 	// graphs are those of the latest view, by service.
 	graphs map[string]*serviceGraphs
 	links  domainLinks
@@ -61,7 +63,7 @@
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
 		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
-		suspects: map[string]suspicion{}, reports: map[string]report{}, graphs: map[string]*serviceGraphs{},
+		suspects: map[string]suspicion{}, reports: map[string]report{}, broken: map[string]brokenRate{}, graphs: map[string]*serviceGraphs{},
 	}
 }
 
@@ -186,8 +188,11 @@
 			if _, suspect := p.suspects[h.Address]; suspect || req.Avoid[h.Address] {
 				return route.CostModel{}, false
 			}
+			if limit < hardUtilizationLimit && p.isOutlier(h.Address, now) {
+				return route.CostModel{}, false
+			}
 			cost := route.CostModel{
-				PerLayer: float64(h.LayerTime) * p.slownessFactor(h.Address), PerHop: float64(hopCost), MaxUtilization: limit, Congestion: congestionWeight,
+				PerLayer: float64(h.LayerTime) * p.slownessFactor(h.Address), PerHop: float64(hopCost) + p.brokenPenalty(h.Address, now), MaxUtilization: limit, Congestion: congestionWeight,
 			}
 			cost.Utilization, cost.UtilizationPerLayer = p.utilization(h.Address, graphs.capacity[h.Address], float64(req.Tokens), localHosts, now)
 			if h.FailureDomain != p.opts.FailureDomain {
