forward: a reroute that is refused avoids the engines that may be full

If the path adds one engine, that is the full one, and no stream of this host is placed on it for a moment, as when it is named. Otherwise the stream avoids all that the path adds, unless there is no path without them.

TestRerouteAvoidsEnginesThatMayBeFull fails without the change (2 reroutes to the same full engine).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -43,6 +43,9 @@
 	// no capacity for the last reroute.
 	reroutes   int
 	noCapacity bool
+	// noRoomUntil holds, by address, until when engines that may have had no capacity for a
+	// reroute are avoided by the next one.
+	noRoomUntil map[string]time.Time
 	// revision is that of the view of the replicas in which the path was last
 	// checked for draining engines. rerouteAt is when the attempt is rerouted off such
 	// engines; zero if there are none.
@@ -62,7 +65,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
 		first: st.first, path: st.path, startedAt: time.Now(), progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
-		updates: make(chan update, 4), cancel: cancel, release: st.release,
+		updates: make(chan update, 4), cancel: cancel, release: st.release, noRoomUntil: map[string]time.Time{},
 	}
 	s.attempt = a
 	send := Send{
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -164,6 +164,10 @@
 	repathedAt time.Time
 	// full has engines without capacity for a stream that is rerouted.
 	full map[string]bool
+	// unnamed is set if the refusal of a reroute does not name the engine without capacity.
+	// refused counts the refusals by that engine.
+	unnamed bool
+	refused map[string]int
 	// streams are the running streams by request ID, and events is the number of
 	// events of each.
 	streams map[string]*runningStream
@@ -266,6 +270,10 @@
 		return errors.New("no such request")
 	}
 	for _, h := range path.Hops {
+		if u.full[h.Address] && u.unnamed {
+			u.refused[h.Address]++
+			return &forward.Error{Op: "repath", Kind: forward.KindNoRoom}
+		}
 		if u.full[h.Address] {
 			return &forward.Error{Op: "repath", Kind: forward.KindNoRoom, Address: h.Address}
 		}
--- a/forward/reroute_test.go
+++ b/forward/reroute_test.go
@@ -76,6 +76,42 @@
 	}
 }
 
+// A refusal may not say which engine lacks capacity. Trying the same path again would
+// pause the stream until that engine has some.
+func TestRerouteAvoidsEnginesThatMayBeFull(t *testing.T) {
+	t.Parallel()
+	for _, down := range []int{1, 2} {
+		t.Run(fmt.Sprint(down, " engines down"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(10)
+				f.replaceEngines(4)
+				resp := f.forwarder.Do(t.Context(), request("stream"))
+				path := f.upstream.sent()[0].Path
+				f.upstream.unnamed, f.upstream.refused, f.upstream.full = true, map[string]int{}, map[string]bool{}
+				for i := range down {
+					f.upstream.takeDown(path.Hops[1+i].Address)
+				}
+				for n := range 4 {
+					if address := fmt.Sprintf("1-%d", n); address != path.Hops[1].Address && len(f.upstream.full) < 2 {
+						f.upstream.full[address] = true
+					}
+				}
+				ids, err := readEvents(t, resp)
+				is.NoErr(err)
+				is.Equal(ids, idsUpTo(eventCount))
+				for address, n := range f.upstream.refused {
+					if n > 1 {
+						t.Errorf("got %d reroutes to the full engine %s, want at most 1", n, address)
+					}
+				}
+				is.Equal(f.upstream.repaths, 1)
+			})
+		})
+	}
+}
+
 // A stream is rerouted off a draining engine before the engine stops, without a new
 // attempt.
 func TestStreamIsReroutedOffDrainingEngine(t *testing.T) {
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -7,8 +7,11 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
+	"bulrushshed/route"
 )
 
 const (
@@ -189,7 +192,7 @@
 // has them or because they drain; without is only logged. The other engines keep
 // their KV cache of the stream.
 func (s *stream) reroute(cause string, without []string) bool {
-	path, release, err := s.f.Planner.Reroute(s.f.Replicas.View(), s.pathRequest(), s.attempt.path, time.Now())
+	path, release, err := s.searchReroute()
 	if err != nil {
 		return false
 	}
@@ -205,7 +208,7 @@
 		"last_event", s.lastID, "hops", len(path.Hops))
 	if err != nil {
 		release()
-		s.handleRepathError(err)
+		s.handleRepathError(err, newHops(path, s.attempt.path))
 		return false
 	}
 	s.attempt.noCapacity = false
@@ -221,17 +224,50 @@
 	return true
 }
 
+// searchReroute returns another path for the running stream, without the engines that had
+// no capacity for it a moment ago if possible.
+func (s *stream) searchReroute() (r route.Route, release func(), err error) {
+	now := time.Now()
+	req := s.pathRequest()
+	for address, until := range s.attempt.noRoomUntil {
+		if now.Before(until) {
+			req.Avoid[address] = true
+		}
+	}
+	r, release, err = s.f.Planner.Reroute(s.f.Replicas.View(), req, s.attempt.path, now)
+	if err != nil && len(s.attempt.noRoomUntil) > 0 {
+		return s.f.Planner.Reroute(s.f.Replicas.View(), s.pathRequest(), s.attempt.path, now)
+	}
+	return r, release, err
+}
+
+// newHops returns the addresses of the engines of a route that hold layers which they did
+// not hold on the old one.
+func newHops(r, old route.Route) []string {
+	held := lo.SliceToMap(old.Hops, func(h route.Hop) (string, route.Range) { return h.Address, h.Layers })
+	return lo.FilterMap(r.Hops, func(h route.Hop, _ int) (string, bool) { return h.Address, held[h.Address] != h.Layers })
+}
+
 // handleRepathError excludes an engine that has no capacity for the stream from new
-// paths for refusedExclusion.
-func (s *stream) handleRepathError(err error) {
+// paths for refusedExclusion. If the refusal does not name it, it is one of the engines
+// that the path adds; unless there is only one, they are excluded for this stream alone.
+func (s *stream) handleRepathError(err error, added []string) {
 	var e *Error
 	if !errors.As(err, &e) {
 		s.attempt.noCapacity = false
 		return
 	}
 	s.attempt.noCapacity = true
-	if e.Address != "" {
-		s.f.Planner.SuspectBusy(e.Address, time.Now().Add(refusedExclusion))
+	until := time.Now().Add(refusedExclusion)
+	switch {
+	case e.Address != "":
+		s.f.Planner.SuspectBusy(e.Address, until)
+	case len(added) == 1:
+		s.f.Planner.SuspectBusy(added[0], until)
+	default:
+		for _, address := range added {
+			s.attempt.noRoomUntil[address] = until
+		}
 	}
 }
 
