pipeline: spread the streams of a failed engine over those that replace it

When an engine fails, all hosts move its streams within 50 ms, by the same costs, and so to the same engine; it reads their tokens one after the other, and refuses the last ones. 180 of 431 streams with a late event had a single successful reroute, and still paused for 270 to 400 ms.

The costs of engines that a reroute adds now vary at random by up to half, so that engines of about the same speed share the streams.

--- a/pipeline/reroute.go
+++ b/pipeline/reroute.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bulrushshed/replica"
@@ -47,6 +48,11 @@
 // its KV cache need not be filled again.
 const keptHopFactor = 0.05
 
+// rerouteSpread is the range by which the costs of other engines vary at random. When an
+// engine fails, all hosts move its streams at once; without the variation they would move
+// them to the same engine, whose load they only learn afterwards.
+const rerouteSpread = 0.5
+
 // preferOldHops makes the hops of an old route cheap, and its first hop the only
 // one at which a path may start.
 func (p *Planner) preferOldHops(q route.Query, old route.Route) route.Query {
@@ -57,6 +63,7 @@
 	costModel := q.CostModel
 	q.CostModel = func(h *route.Holding) (route.CostModel, bool) {
 		cost, ok := costModel(h)
+		cost.PerLayer *= 1 + rerouteSpread*rand.Float64()
 		cost.PreferredLayers, cost.PreferredFactor = kept[h.Address], keptHopFactor
 		return cost, ok
 	}
