forward, pipeline: notice and repair broken streams sooner

- The time without an event after which a stream checks its engines follows the gaps of its last events (1.5 times the longest, at least 50 ms) in place of 110 ms, which stays the upper bound.
- The result of a check is looked at after 15 ms in place of 40 ms.
- Engines that take over the streams of a failed one read their tokens first.
The planner estimates for each how long that takes, all hosts of the domain counted, so that a reroute prefers one that has less to read.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -37,6 +37,8 @@
 	err error
 	// observed records whether the request crashes the first engine.
 	observed *quarantine.Attempt
+	// gaps has the pace of the events, by which the stream notices a stall.
+	gaps recentGaps
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
 	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -16,11 +16,20 @@
 
 const (
 	// firstEventTimeout is how long the first event of an attempt may take before
-	// its engines are checked, and nextEventTimeout how long each later one may.
-	firstEventTimeout = 260 * time.Millisecond
-	nextEventTimeout  = 110 * time.Millisecond
-	// recheckInterval is the interval between two checks during one stall.
-	recheckInterval = 40 * time.Millisecond
+	// its engines are checked. Each later one may take gapFactor times the longest gap
+	// of the last few events and gapMargin more, but no less than minNextEventTimeout and
+	// no more than maxNextEventTimeout.
+	firstEventTimeout   = 260 * time.Millisecond
+	minNextEventTimeout = 50 * time.Millisecond
+	maxNextEventTimeout = 110 * time.Millisecond
+	gapFactor           = 1.5
+	gapMargin           = 15 * time.Millisecond
+	// promptRecheckInterval is the interval between the first promptRechecks checks
+	// during one stall, in which engines that refuse connections are found, and
+	// recheckInterval that between later ones.
+	promptRecheckInterval = 15 * time.Millisecond
+	promptRechecks        = 8
+	recheckInterval       = 40 * time.Millisecond
 	// checkAllAfter is the stall after which all engines of a path are checked
 	// although other streams receive events through them, and rerouteSlowAfter the
 	// one after which the stream is rerouted off slow engines.
@@ -45,10 +54,12 @@
 // stallTimeout returns how long to wait for an event before the engines are checked.
 func (s *stream) stallTimeout() time.Duration {
 	switch {
-	case s.attempt.stallChecks > 0:
+	case s.attempt.stallChecks > promptRechecks:
 		return recheckInterval
+	case s.attempt.stallChecks > 0:
+		return promptRecheckInterval
 	case s.attempt.events > 0:
-		return nextEventTimeout
+		return s.attempt.gaps.timeout()
 	}
 	return firstEventTimeout
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -202,6 +202,9 @@
 	if e.id != s.lastID+1 && (s.lastID >= 0 || e.id != firstEventID) {
 		return event{}, "gap"
 	}
+	if s.attempt.events > 0 && s.attempt.stallChecks == 0 {
+		s.attempt.gaps.record(s.attempt.progress.SinceLastEvent(now))
+	}
 	s.attempt.progress.RecordEvent(now)
 	s.attempt.stallChecks = 0
 	s.attempt.events++
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -130,4 +130,5 @@
 		}
 	}
 	p.expireBroken(now)
+	p.backlog.expire(now)
 }
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -57,6 +57,8 @@
 	// graphs are those of the latest view, by service.
 	graphs map[string]*serviceGraphs
 	links  domainLinks
+	// backlog is that of the engines to which running streams were rerouted.
+	backlog prefillBacklog
 }
 
 // NewPlanner returns a planner without streams.
@@ -64,6 +66,7 @@
 	return &Planner{
 		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
 		suspects: map[string]suspicion{}, reports: map[string]report{}, broken: map[string]brokenRate{}, graphs: map[string]*serviceGraphs{},
+		backlog: newPrefillBacklog(),
 	}
 }
 
--- a/pipeline/reroute.go
+++ b/pipeline/reroute.go
@@ -17,10 +17,11 @@
 	defer p.mu.Unlock()
 	graphs := p.graphsFor(v, req)
 	p.expire(now)
-	q := p.preferOldHops(p.query(graphs, req, hardUtilizationLimit, now), old)
+	q := p.preferOldHops(p.query(graphs, req, hardUtilizationLimit, now), old, now)
 	for _, d := range graphs.byDomain {
 		if d.domain == startDomain(v, old) {
 			if r, _, err = d.graph.Cheapest(q); err == nil {
+				p.addBacklog(graphs, r, old, req.Tokens, now)
 				return r, p.reserve(r, req.Tokens), nil
 			}
 		}
@@ -32,12 +33,28 @@
 	for _, g := range graphs.byVersion {
 		if r, _, err = g.Cheapest(q); err == nil {
 			p.occupyLinks(graphs, req, r, old, now)
+			p.addBacklog(graphs, r, old, req.Tokens, now)
 			return r, p.reserve(r, req.Tokens), nil
 		}
 	}
 	return route.Route{}, nil, err
 }
 
+// addBacklog counts the tokens of a rerouted stream at the engines that read them again,
+// for the layers that they did not hold of it. The other hosts of the failure domain
+// reroute as many streams to them at the same time.
+func (p *Planner) addBacklog(graphs *serviceGraphs, r, old route.Route, tokens int, now time.Time) {
+	held := map[string]route.Range{}
+	for _, h := range old.Hops {
+		held[h.Address] = h.Layers
+	}
+	for _, h := range r.Hops {
+		if held[h.Address] != h.Layers {
+			p.backlog.add(h, graphs.layerTime[h.Address], float64(tokens*max(p.opts.LocalHosts(), 1)), now)
+		}
+	}
+}
+
 // startDomain returns the failure domain in which a route starts.
 func startDomain(v *replica.View, r route.Route) string {
 	first, _ := v.ByAddress(r.Hops[0].Address)
@@ -55,7 +72,7 @@
 
 // preferOldHops makes the hops of an old route cheap, and its first hop the only
 // one at which a path may start.
-func (p *Planner) preferOldHops(q route.Query, old route.Route) route.Query {
+func (p *Planner) preferOldHops(q route.Query, old route.Route, now time.Time) route.Query {
 	kept := map[string]route.Range{}
 	for _, h := range old.Hops[1:] {
 		kept[h.Address] = h.Layers
@@ -63,7 +80,10 @@
 	costModel := q.CostModel
 	q.CostModel = func(h *route.Holding) (route.CostModel, bool) {
 		cost, ok := costModel(h)
-		cost.PerLayer *= 1 + rerouteSpread*rand.Float64()
+		if _, ok := kept[h.Address]; !ok {
+			cost.PerLayer *= 1 + rerouteSpread*rand.Float64()
+			cost.PerHop += backlogWeight * float64(p.backlog.wait(h.Address, now))
+		}
 		cost.PreferredLayers, cost.PreferredFactor = kept[h.Address], keptHopFactor
 		return cost, ok
 	}
