--- a/feed/backoff.go
+++ b/feed/backoff.go
@@ -44,6 +44,7 @@
 		return maxFollowerDelay, growth
 	case WaitingFollower:
 		return maxWaitingDelay, waitingGrowth
+	case Reader:
 	}
 	return maxDelay, growth
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -41,12 +41,17 @@
 	err error
 	// observed records whether the request crashes the first engine.
 	observed *quarantine.Attempt
+	// gaps has the pace of the events, by which the stream notices a stall.
+	gaps recentGaps
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
 	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
 	// no capacity for the last reroute.
 	reroutes   int
 	noCapacity bool
+	// noRoomUntil holds, by address, until when engines that may have had no capacity for a
+	// reroute are avoided by the next one.
+	noRoomUntil map[string]time.Time
 	// revision is that of the view of the replicas in which the path was last
 	// checked for draining engines. rerouteAt is when the attempt is rerouted off such
 	// engines; zero if there are none.
@@ -66,7 +71,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
 		first: st.first, path: st.path, startedAt: time.Now(), progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
-		updates: make(chan update, 4), cancel: cancel, release: st.release,
+		updates: make(chan update, 4), cancel: cancel, release: st.release, noRoomUntil: map[string]time.Time{},
 	}
 	s.attempt = a
 	send := Send{
@@ -126,6 +131,7 @@
 	}
 	if u.event.err != nil {
 		a.err = u.event.err
+		s.f.Planner.RecordAnswer(a.first.Address, true, time.Now())
 		s.markMayHaveRun(a.first)
 		return causeBrokenAnswer
 	}
@@ -140,6 +146,7 @@
 		return "failed_by_replica"
 	}
 	a.answered = true
+	s.f.Planner.RecordAnswer(a.first.Address, false, time.Now())
 	if s.head == nil {
 		s.head = u.answer
 	}
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -129,4 +129,6 @@
 			delete(p.reports, address)
 		}
 	}
+	p.expireBroken(now)
+	p.backlog.expire(now)
 }
