hosted: all hosts of a large group are visible to each other

On the deployment with 195 hosts, 57 to 131 were missing in the list of members for good: no callers, no source, reads of the store for themselves (204 reads of the configuration a second in place of 14), and other hosts rejected them.

The store distributes the partitions of each topic evenly by itself, and moves none once each of them has another owner. All hosts shared all topics, so whoever joined later got none.

Each host now shares one of 16 topics, chosen by its address, with 1 in 16 of the hosts, besides that of the control lease.

TestMoreHostsThanPartitionsOfATopicAreVisible fails with one topic for all (not all named within 30 s).

--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
+	"github.com/cespare/xxhash/v2"
 
 	"bulrushshed/feed"
 	"bulrushshed/loop"
@@ -40,20 +40,26 @@
 	// handoverTime is how long after a change of the group all members are listed: within
 	// two heartbeats each gives up the partitions that it no longer owns.
 	handoverTime = 2*followerHeartbeatTicks*heartbeatInterval + 200*time.Millisecond
-	// maxHosts is the number of hosts up to which all are visible as members, and
-	// partitionsPerTopic the number of partitions of a group topic.
-	maxHosts           = 408
-	partitionsPerTopic = 24
+	// leaseTopic is the topic whose first partition is the control lease. All hosts share
+	// its partitions.
+	leaseTopic = "hosts0"
+	// memberTopics is the number of topics by which hosts are visible to each other. It
+	// keeps the hosts of a topic, 25 of 400 on average, below its 48 partitions.
+	memberTopics = 16
 	// assumedHosts and assumedLocalHosts are the assumed numbers of hosts in the
 	// group and in this failure domain until the members are known.
 	assumedHosts      = 8
 	assumedLocalHosts = 3
 )
 
-// groupTopics are the topics whose partitions the store distributes among the
-// hosts. Other hosts see a member only if it owns a partition, so there must be
-// at least as many partitions as hosts.
-var groupTopics = lo.Times(maxHosts/partitionsPerTopic, func(i int) string { return fmt.Sprintf("hosts%d", i) })
+// groupTopics returns the topics whose partitions a host with the given address shares.
+// Other hosts see a member only if it owns a partition. The store distributes the
+// partitions of each topic evenly by itself: once each of its partitions has another
+// owner, a host that joins gets none of them. So each host shares those of one topic with
+// a few others only.
+func groupTopics(address string) []string {
+	return []string{leaseTopic, fmt.Sprintf("members%d", xxhash.Sum64String(address)%memberTopics)}
+}
 
 // group is this host's membership in the group of entry hosts. The owner of the
 // first partition holds the control lease, which allows it to send orders to
@@ -168,7 +174,7 @@
 // generation.
 func (g *group) join() (generation feed.Generation, ok bool) {
 	sentAt := bootTime()
-	m, err := g.host.store.Join(groupName, g.memberName, groupTopics, memberTTL, g.lastNumber())
+	m, err := g.host.store.Join(groupName, g.memberName, groupTopics(g.host.cfg.CallerAddress), memberTTL, g.lastNumber())
 	if err != nil {
 		g.host.log.Debug("group: heartbeat failed, retrying", "cause", err.Error())
 		return feed.Generation{}, false
--- a/daemon/hosted/members_test.go
+++ b/daemon/hosted/members_test.go
@@ -19,3 +19,17 @@
 		await(t, "directory response with all hosts", func() bool { return slices.Equal(h.addresses(t), f.callerAddresses()) })
 	}
 }
+
+// The store shares out the partitions of each topic by itself. In a group with more hosts than
+// a topic has partitions, the last ones must be visible, too.
+func TestMoreHostsThanPartitionsOfATopicAreVisible(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.store.setPartitions(3)
+	for i := range 5 {
+		f.hosts = append(f.hosts, f.start(t, i))
+	}
+	for _, h := range f.hosts {
+		await(t, "directory response with all hosts", func() bool { return slices.Equal(h.addresses(t), f.callerAddresses()) })
+	}
+}
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -37,6 +37,9 @@
 	// handsOver is set if a member is listed only once all that joined before it have sent a
 	// heartbeat with a generation in which it was a member.
 	handsOver bool
+	// partitions is the number of partitions of each topic, which its first members own, or
+	// 0 for no limit.
+	partitions int
 	// memberReads counts the reads of the group members.
 	memberReads int
 	down        bool
@@ -149,6 +152,7 @@
 	ttl           time.Duration
 	// joinedIn is the generation in which it joined, and knows the last one that it named.
 	joinedIn, knows int64
+	topics          []string
 }
 
 func newStore(t *testing.T) *store {
@@ -270,6 +274,12 @@
 	s.down = down
 }
 
+func (s *store) setPartitions(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.partitions = n
+}
+
 func (s *store) setHandsOver() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -369,6 +379,7 @@
 		s.members[i].joinedIn = s.generation
 	}
 	s.members[i].knows = in.Generation
+	s.members[i].topics = in.Topics
 	s.members[i].lastHeartbeat = now
 	s.members[i].ttl = ttl
 	parts := "[]"
@@ -397,6 +408,15 @@
 	_, _ = io.WriteString(w, "{}")
 }
 
+// ownsPartition reports whether a member owns a partition of one of its topics. The caller
+// holds s.mu.
+func (s *store) ownsPartition(i int) bool {
+	return s.partitions == 0 || slices.ContainsFunc(s.members[i].topics, func(topic string) bool {
+		earlier := lo.CountBy(s.members[:i], func(m member) bool { return slices.Contains(m.topics, topic) })
+		return earlier < s.partitions
+	})
+}
+
 func (s *store) owners(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -404,7 +424,7 @@
 	var rows []string
 	for i, m := range s.members {
 		waits := slices.ContainsFunc(s.members[:i], func(earlier member) bool { return earlier.knows < m.joinedIn })
-		if s.handsOver && waits {
+		if s.handsOver && waits || !s.ownsPartition(i) {
 			continue
 		}
 		rows = append(rows, fmt.Sprintf(`["hosts0",%d,%q,0]`, i, m.name))
