forward: retry budget of retrybudget, which a rolling restart does not exceed

Cause: forward.Budget gave each host retry_extra / (members of the group). A host that stops leaves the group at once, serves for seconds more, and a new one is counted late, so hosts saw groups of 1 to 3 instead of 7. Each incarnation of a host also earned a share of its own. The margin of a fifth (retryBudgetFraction) was too small for that.

Change: package retrybudget decides. The share of a host is divided by all hosts that were members in the last 60 s, and a process that has just started has at most 0.15 of a share, beside 0.8 of the one before it. What a host lacks it borrows from other members (peer message "borrow"), for at most 60 ms; a hedge does not wait, as the answer of the first send may arrive meanwhile. The budget is told the priority of a request and whether its caller already reads the answer. Hosts confirm their share by heartbeats whose list of members they know.

The last line of a request that is refused has the state of the account (own, borrowed, spent, hosts). New metrics: bulrushshed_retry_tokens_total by service and event, bulrushshed_retry_tokens, bulrushshed_retry_hosts. forward/budget_test.go is replaced by the tests of retrybudget, which check the same rule more strictly (largest of three windows in place of the sum of two, changing members, restarts).

TestHostWithoutRetriesBorrowsSome: 25, 29 and 25 repeats with a share of 13.3. go test ./retrybudget ./forward ./peer ./daemon/hosted passes, with -race, too.

--- a/daemon/hosted/doc.go
+++ b/daemon/hosted/doc.go
@@ -21,5 +21,6 @@
 // Requests run on the HTTP server's worker goroutines and use shared state. The
 // configuration and the view of the replicas are replaced atomically. All other
 // state has its own lock, which is held neither during a network call nor together
-// with another lock.
+// with another lock, except that group holds its own while it passes the members to
+// retrybudget.Accounts, whose holders acquire no further lock.
 package hosted
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -64,6 +64,9 @@
 	case m.Kind == peer.KindPermit && m.Permit != nil:
 		permit := r.host.limiter.Answer(*m.Permit, time.Now())
 		return peer.Reply{Permit: &permit}
+	case m.Kind == peer.KindBorrow && m.Borrow != nil:
+		loan := r.host.retries.Lend(*m.Borrow)
+		return peer.Reply{Loan: &loan}
 	case m.Kind == peer.KindConfig:
 		return r.host.configReply()
 	case m.Kind == peer.KindFeed && m.Feed != nil:
--- a/daemon/hosted/group.go
+++ b/daemon/hosted/group.go
@@ -70,8 +70,9 @@
 
 	mu sync.Mutex
 	// generation is the group's generation as of the last heartbeat that the store
-	// has answered.
-	generation feed.Generation
+	// has answered, which was sent at heartbeatAt, on the clock of bootTime.
+	generation  feed.Generation
+	heartbeatAt time.Duration
 	// peersGeneration is the generation of the group that peers belong to.
 	peersGeneration feed.Generation
 	peers           []Peer
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -23,6 +23,7 @@
 	"bulrushshed/ratelimit"
 	"bulrushshed/relay"
 	"bulrushshed/replica"
+	"bulrushshed/retrybudget"
 	"bulrushshed/settings"
 )
 
@@ -79,6 +80,8 @@
 	findings      *findings
 	limits        *ratelimit.Limits
 	limiter       *ratelimit.Limiter
+	retryAccounts *retrybudget.Accounts
+	retries       *retrybudget.Budget
 	group         *group
 	feed          *feedRelay
 	dialer        *relay.Dialer
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -35,6 +35,8 @@
 	revoke time.Duration
 	// grace is the time that a host has to stop, or 0 for 3 s.
 	grace time.Duration
+	// configure changes the settings of the hosts that start; nil for none.
+	configure func(cfg *settings.Host)
 }
 
 type entryHost struct {
@@ -122,6 +124,9 @@
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
+	if f.configure != nil {
+		f.configure(&cfg)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &entryHost{cfg: cfg, proxy: proxy, links: &links{}, stop: cancel, done: make(chan error, 1)}
 	injector := hosted.Wire(cfg)
--- a/daemon/hosted/lease.go
+++ b/daemon/hosted/lease.go
@@ -28,4 +28,6 @@
 	g.generation = m.Generation
 	g.controlling = m.OwnsFirstPartition
 	g.leaseEnd = sentAt + memberTTL - leaseMargin
+	g.heartbeatAt = sentAt
+	g.confirmMember()
 }
--- a/daemon/hosted/members.go
+++ b/daemon/hosted/members.go
@@ -66,9 +66,19 @@
 	peers = lo.UniqBy(peers, func(p Peer) string { return p.Address })
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	g.peers = peers
+	g.host.retryAccounts.SetMembers(lo.Map(peers, func(p Peer, _ int) string { return p.Address }), bootTime())
+	g.confirmMember()
 	g.host.log.Info("group: members updated", "hosts", len(peers), "generation", m.At())
 }
 
+// confirmMember confirms the share of this host of the retry budget, if it knows all members
+// as of its last heartbeat. The caller holds g.mu.
+func (g *group) confirmMember() {
+	if g.heartbeatAt > 0 && g.peersGeneration.Compare(g.generation) >= 0 {
+		g.host.retryAccounts.ConfirmMember(g.heartbeatAt)
+	}
+}
+
 // selectSource returns the member from which this host receives changes, or nil
 // if it is to read the store itself.
 func (g *group) selectSource(peers []Peer) *Peer {
--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -53,6 +53,8 @@
 	// retryAfter is the Retry-After of the 503 with which the replica refuses requests, or
 	// "" if it takes them.
 	retryAfter string
+	// repeats records the requests, unless it is nil.
+	repeats *repeats
 }
 
 // engineRestartTime is how long an engine is down after a crash.
@@ -142,6 +144,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.nameLimit(w)
+	r.repeats.record(req.Header.Get("X-Bulrushshed-Attempt-Id"))
 	if req.Header.Get("X-Bulrushshed-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -22,6 +22,7 @@
 	"bulrushshed/relay"
 	"bulrushshed/replica"
 	"bulrushshed/replicahttp"
+	"bulrushshed/retrybudget"
 	"bulrushshed/settings"
 )
 
@@ -56,6 +57,10 @@
 		return nil, err
 	}
 	h.group = newGroup(h, identity.pin)
+	h.retryAccounts = retrybudget.NewAccounts(retrybudget.Options{
+		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Window: cfg.RetryWindow.D(), Self: cfg.CallerAddress,
+	})
+	h.retries = retrybudget.NewBudget(h.retryAccounts, lenders{h}, bootTime, h.meter, h.log)
 	h.dialer = newDialer(h, do.MustInvoke[DirectDial](i))
 	h.connector = relay.NewConnector(h.dialer, h.acceptsRelayed)
 	if h.feed, err = newFeedRelay(h, identity); err != nil {
@@ -77,10 +82,7 @@
 		Limiter:    h.limiter,
 		Links:      h.dialer,
 		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
-		Budget: forward.NewBudget(forward.BudgetOptions{
-			Ratio: cfg.RetryRatio * retryBudgetFraction, Extra: cfg.RetryExtra * retryBudgetFraction, Window: cfg.RetryWindow.D(), Hosts: h.group.size,
-			StartedAt: time.Now(),
-		}),
+		Budget:  h.retries,
 		Counter: h.meter, Log: h.log,
 	})})
 	h.registerGauges()
@@ -106,11 +108,6 @@
 // a good record before requests with the part are refused.
 const unprovenCrashLimit = 1
 
-// retryBudgetFraction is the fraction of the retry budget that is used. The
-// rest is a margin for hosts that know different members of the group, and so
-// divide the budget by different numbers.
-const retryBudgetFraction = 0.8
-
 // Reload applies the settings that can change at run time, which is only the
 // log level. It logs whether other settings have changed, which take effect
 // after a restart.
@@ -140,6 +137,8 @@
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
+	h.meter.Gauge("bulrushshed_retry_tokens", func() float64 { return h.retryAccounts.Tokens(bootTime()) })
+	h.meter.Gauge("bulrushshed_retry_hosts", func() float64 { return float64(h.retryAccounts.Hosts(bootTime())) })
 	h.meter.Gauge("bulrushshed_links_down", func() float64 { return float64(h.dialer.CountDown()) })
 	h.meter.Gauge("bulrushshed_relayed_connections", func() float64 { return float64(h.connector.Relayed()) })
 	h.meter.Gauge("bulrushshed_log_lines_dropped", func() float64 { return float64(h.logWriter.dropped.Load()) })
--- a/forward/doc.go
+++ b/forward/doc.go
@@ -13,7 +13,8 @@
 // that is not possible, the stream is resumed by a new attempt: the request is sent
 // again, for the events after the last one received.
 //
-// A [Budget] limits the sends beyond the first of each request.
+// A [RetryBudget] limits the sends beyond the first of each request; package retrybudget
+// implements it.
 //
 // The package is independent of the transport: an [Upstream] sends the requests, and
 // the server that accepts callers passes in a [Request] and returns the [Response].
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -118,7 +118,7 @@
 		}),
 		Upstream: f.upstream,
 		Limiter:  f.limiter,
-		Budget:   forward.NewBudget(forward.BudgetOptions{Extra: budget, Window: 10 * time.Second, Hosts: hosts}),
+		Budget:   &retryTokens{left: budget},
 		Counter:  meter.New(10, 10), Log: slog.New(slog.DiscardHandler),
 	})
 	return f
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"bulrushshed/pipeline"
 	"bulrushshed/quarantine"
 	"bulrushshed/replica"
+	"bulrushshed/retrybudget"
 )
 
 const (
@@ -77,7 +78,7 @@
 	// Links tells which replicas are reached only through other hosts; nil for none.
 	Links   Links
 	Limiter Limiter
-	Budget  *Budget
+	Budget  RetryBudget
 	Counter Counter
 	Log     *slog.Logger
 }
@@ -117,6 +118,8 @@
 	features    []quarantine.Feature
 	// returnAfterHold is when the caller should return if a feature of the request is held.
 	returnAfterHold time.Duration
+	// budget is the state of the retry budget when it last decided about the request.
+	budget retrybudget.State
 	// mayHaveRun is set once a replica has received the request and has not
 	// reported that it did not run it.
 	mayHaveRun bool
@@ -148,7 +151,7 @@
 	}
 	c.deadline = deadlineOf(req, rule)
 	c.identify()
-	f.Budget.RecordRequest(c.service.Name, req.Arrived)
+	f.Budget.RecordRequest(c.service.Name)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	if rule.Kind == ingress.KindStream && c.service.Model != nil {
 		return c.serveStream(ctx, cancel)
@@ -257,6 +260,9 @@
 	if kind == outcome.Unknown {
 		more = append(more, "fingerprint", c.formatFingerprint())
 	}
+	if cause == causeBudget {
+		more = append(more, c.budgetFields()...)
+	}
 	c.f.Counter.RequestDone(c.customer, c.rule.Name, kind, outcome.Cause(cause), took)
 	c.f.Log.Info("forward: request ended", append([]any{
 		"request", c.req.ID, "rule", c.rule.Name, "customer", c.customer, "outcome", string(kind), "cause", cause,
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -91,7 +91,8 @@
 		p.returnAfterHold = d.ReturnAfter()
 		return causeQuarantined
 	}
-	if p.sends > 0 && !p.f.Budget.AllowRetry(p.service.Name, time.Now()) {
+	// While a send runs, its answer must not wait for the budget.
+	if p.sends > 0 && !p.allowRetry(p.ctx, false, p.inFlight > 0) {
 		pending.Cancel()
 		return causeBudget
 	}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -27,7 +27,7 @@
 	if cause != "" {
 		return cause
 	}
-	if s.sends > 0 && !s.retryCharged && !s.f.Budget.AllowRetry(s.service.Name, time.Now()) {
+	if s.sends > 0 && !s.retryCharged && !s.allowRetry(s.ctx, s.begun(), false) {
 		st.release()
 		return causeBudget
 	}
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -142,7 +142,7 @@
 	if s.whyBlocked() != "" || !s.f.Planner.HasPath(s.f.Replicas.View(), req, time.Now()) {
 		return ""
 	}
-	if !s.f.Budget.AllowRetry(s.service.Name, time.Now()) {
+	if !s.allowRetry(s.ctx, s.begun(), false) {
 		return ""
 	}
 	s.retryCharged = true
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,15 +41,17 @@
 	set       *metrics.Set
 	customers labelLimiter
 	classes   labelLimiter
+	services  labelLimiter
 }
 
 // New returns a meter with at most the given numbers of distinct customer and
-// class labels.
+// class labels. The bound of the classes applies to services, too.
 func New(customers, classes int) *Meter {
 	return &Meter{
 		set:       metrics.NewSet(),
 		customers: labelLimiter{maxLabels: customers, seen: map[string]bool{}},
 		classes:   labelLimiter{maxLabels: classes, seen: map[string]bool{}},
+		services:  labelLimiter{maxLabels: classes, seen: map[string]bool{}},
 	}
 }
 
@@ -96,6 +98,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`bulrushshed_queue_seconds{class=%q}`, m.classes.limit(class))).Update(took.Seconds())
 }
 
+// CountTokens counts what happened to tokens of the retry budget of a service.
+func (m *Meter) CountTokens(service, event string, tokens float64) {
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf(`bulrushshed_retry_tokens_total{service=%q,event=%q}`, m.services.limit(service), event)).Add(tokens)
+}
+
 // Resumed counts a stream that is to continue in another attempt or on another
 // path through the engines, by cause.
 func (m *Meter) Resumed(cause string) { m.count("bulrushshed_resumes_total", "cause", cause) }
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,6 +9,7 @@
 	"bulrushshed/outcome"
 	"bulrushshed/publication"
 	"bulrushshed/ratelimit"
+	"bulrushshed/retrybudget"
 	"bulrushshed/rule"
 )
 
@@ -34,17 +35,20 @@
 	KindConfig Kind = "config"
 	// KindPermit asks for a permit for one request to a replica that names a limit.
 	KindPermit Kind = "permit"
+	// KindBorrow asks for tokens of a retry budget.
+	KindBorrow Kind = "borrow"
 )
 
 // Message is one request. Only the field for its kind is set; KindJoin and KindConfig
 // have none, and KindRules uses Have.
 type Message struct {
-	Kind     Kind                `cbor:"kind"`
-	Forward  *Forward            `cbor:"forward,omitempty"`
-	Exchange *gossip.Exchange    `cbor:"exchange,omitempty"`
-	Demand   *Demand             `cbor:"demand,omitempty"`
-	Feed     *feed.Request       `cbor:"feed,omitempty"`
-	Permit   *ratelimit.Question `cbor:"permit,omitempty"`
+	Kind     Kind                  `cbor:"kind"`
+	Forward  *Forward              `cbor:"forward,omitempty"`
+	Exchange *gossip.Exchange      `cbor:"exchange,omitempty"`
+	Demand   *Demand               `cbor:"demand,omitempty"`
+	Feed     *feed.Request         `cbor:"feed,omitempty"`
+	Permit   *ratelimit.Question   `cbor:"permit,omitempty"`
+	Borrow   *retrybudget.Question `cbor:"borrow,omitempty"`
 	// Have is the version that a host requesting newer rules already has.
 	Have rule.Version `cbor:"have,omitempty"`
 }
@@ -94,6 +98,7 @@
 	Exchange *gossip.Exchange   `cbor:"exchange,omitempty"`
 	Feed     *feed.Response     `cbor:"feed,omitempty"`
 	Permit   *ratelimit.Permit  `cbor:"permit,omitempty"`
+	Loan     *retrybudget.Loan  `cbor:"loan,omitempty"`
 	// Config is the newest configuration that the host has applied, as the operator wrote
 	// it.
 	Config []byte `cbor:"config,omitempty"`
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,6 +17,7 @@
 
 	"bulrushshed/gossip"
 	"bulrushshed/ratelimit"
+	"bulrushshed/retrybudget"
 )
 
 // ErrorKind classifies an Error.
@@ -269,6 +270,19 @@
 	return *r.Permit, nil
 }
 
+// Borrow asks the host at an address for tokens of a retry budget. A host of an older build
+// replies without a loan.
+func (n *Node) Borrow(ctx context.Context, address string, q retrybudget.Question) (retrybudget.Loan, error) {
+	r, err := n.Call(ctx, address, Message{Kind: KindBorrow, Borrow: &q})
+	switch {
+	case err != nil:
+		return retrybudget.Loan{}, err
+	case r.Loan == nil:
+		return retrybudget.Loan{}, &Error{Op: "borrow", Kind: ErrorNoReply, Cause: eris.New("got a reply without a loan")}
+	}
+	return *r.Loan, nil
+}
+
 // Call sends a message to the peer at an address and returns its reply.
 func (n *Node) Call(ctx context.Context, address string, m Message) (Reply, error) {
 	conn, err := n.conn(ctx, address)
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -13,6 +13,7 @@
 	"bulrushshed/feed"
 	"bulrushshed/keys"
 	"bulrushshed/peer"
+	"bulrushshed/retrybudget"
 )
 
 // trustStore holds the pins that all nodes of a test trust.
@@ -33,10 +34,17 @@
 	s.pins[pin] = true
 }
 
-// echo answers each request with the offset that it asks for.
+// echo answers each request with the offset that it asks for, and lends half of the tokens
+// of one service. Of others it knows nothing, as a host of an older build.
 type echo struct{}
 
 func (echo) Handle(_ context.Context, m peer.Message) peer.Reply {
+	switch {
+	case m.Borrow != nil && m.Borrow.Service == "known":
+		return peer.Reply{Loan: &retrybudget.Loan{ID: m.Borrow.ID, Granted: m.Borrow.Want / 2}}
+	case m.Borrow != nil:
+		return peer.Reply{}
+	}
 	return peer.Reply{Feed: &feed.Response{Host: "echo", Page: feed.Page{Next: m.Feed.Next}}}
 }
 
@@ -98,6 +106,25 @@
 	is.Equal(next, int64(7))
 }
 
+// A reply without a loan, as from a host of an older build, is an error and lends nothing.
+func TestBorrow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	trust := &trustStore{pins: map[string]bool{}}
+	const address = "127.0.9.4:7340"
+	_, serverPin := startNode(t, trust, address)
+	client, clientPin := startNode(t, trust, "127.0.9.5:7340")
+	trust.add(serverPin)
+	trust.add(clientPin)
+	loan, err := client.Borrow(t.Context(), address, retrybudget.Question{ID: 1 << 63, Service: "known", Want: 3})
+	is.NoErr(err)
+	is.Equal(loan, retrybudget.Loan{ID: 1 << 63, Granted: 1.5})
+	loan, err = client.Borrow(t.Context(), address, retrybudget.Question{ID: 2, Service: "other", Want: 3})
+	var e *peer.Error
+	is.True(errors.As(err, &e))
+	is.Equal(loan, retrybudget.Loan{})
+}
+
 // A configuration that verifies no peer must be rejected.
 func TestNewNodeRequiresPeerVerification(t *testing.T) {
 	t.Parallel()
