--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -26,6 +26,7 @@
 	"bulrushshed/ratelimit"
 	"bulrushshed/relay"
 	"bulrushshed/replica"
+	"bulrushshed/retrybudget"
 	"bulrushshed/settings"
 )
 
@@ -82,6 +83,8 @@
 	findings      *findings
 	limits        *ratelimit.Limits
 	limiter       *ratelimit.Limiter
+	retryAccounts *retrybudget.Accounts
+	retries       *retrybudget.Budget
 	group         *group
 	serving       *servingHosts
 	feed          *feedRelay
