ingresshttp: reject codings without effect, folded lines and malformed names

A request with "Transfer-Encoding: identity", or with a blank within a header's name, was served without a body, and the bytes that followed were served as the next request. A proxy in front of the host that takes them for the body would let its caller smuggle a request. RFC 9112 (6.3) requires 400 and a closed connection for a coding that is not chunked at its end.

Cause: fasthttp ignores such lines, and the server checked only that there are not both a coding and a length.

The new cases of TestAmbiguousFramingIsRejected fail without the change (200, want 400).

--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -113,7 +113,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if hasAmbiguousLength(&ctx.Request.Header) {
+	if hasAmbiguousFraming(&ctx.Request.Header) {
 		s.opts.Log.Info("ingress: malformed request rejected, closing the connection", "cause", "ambiguous_framing", "status", fasthttp.StatusBadRequest)
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		ctx.SetConnectionClose()
@@ -198,13 +198,6 @@
 	return b.ReadCloser.Close()
 }
 
-// hasAmbiguousLength reports whether a request has both a Transfer-Encoding and a
-// Content-Length header, which could be used for request smuggling.
-func hasAmbiguousLength(h *fasthttp.RequestHeader) bool {
-	raw := bytes.ToLower(h.RawHeaders())
-	return bytes.Contains(raw, []byte("transfer-encoding")) && bytes.Contains(raw, []byte("content-length"))
-}
-
 // isHopByHop reports whether a header field applies to a single connection and must
 // not be forwarded.
 func isHopByHop(name string) bool {
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -45,6 +45,12 @@
 	return append([]*forward.Request(nil), h.received...)
 }
 
+func (h *recordingForwarder) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.received = nil
+}
+
 func respondWith(status int, body string) func(context.Context) *forward.Response {
 	return func(context.Context) *forward.Response {
 		return &forward.Response{Status: status, Body: io.NopCloser(strings.NewReader(body)), Header: []forward.Field{
@@ -153,6 +159,10 @@
 		{"two lengths", "Content-Length: 5\r\nContent-Length: 6\r\n", "abcde"},
 		{"two codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n"},
 		{"an unknown coding", "Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"},
+		{"a coding without effect", "Transfer-Encoding: identity\r\n", ""},
+		{"a folded coding", "Transfer-Encoding:\r\n chunked\r\n", "0\r\n\r\n"},
+		{"a folded line", "X-A: b\r\n Content-Length: 5\r\n", ""},
+		{"a space within a name", "Transfer Encoding: chunked\r\n", "0\r\n\r\n"},
 		{"a list of codings", "Transfer-Encoding: identity, chunked\r\n", "0\r\n\r\n"},
 		{"a space before the colon", "Content-Length : 5\r\n", "abcde"},
 		{"a signed length", "Content-Length: +5\r\n", "abcde"},
