ingresshttp: fuzz the framing of requests

FuzzRequestFraming writes raw bytes to a server over an in-memory connection and compares what the forwarder sees with a strict parser of RFC 9112.

Known and accepted: fasthttp sends the answer of a pipelined request with that of the next one if it has read a part of that, so that an answer is lost if the next request never ends. A closed connection states nothing.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	for target in FuzzDecodeConfig FuzzDecodeReplica FuzzDecodeRequest FuzzReadRecords; do \
 		go test ./platform -run xxx -fuzz "^$$target$$" -fuzztime 20s || exit 1; done
 	go test ./settings -run xxx -fuzz FuzzParseHost -fuzztime 20s
+	go test ./ingresshttp -run xxx -fuzz FuzzRequestFraming -fuzztime 20s -fuzzminimizetime 10x
 	go test ./feed -run xxx -fuzz FuzzOpen -fuzztime 20s
 	go test ./quarantine -run xxx -fuzz FuzzParseItem -fuzztime 20s
 	go test ./ratelimit -run xxx -fuzz FuzzMerge -fuzztime 20s
