peer: callers that do not read hold up nothing between hosts

Three relayed connections whose callers did not read their streams blocked the connection between two hosts: gossip, permits, forwarded calls and further relayed connections, for as long as they were open. A host could also hold 6 MB for such a stream and 15 MB for each connection.

Cause: messages and relayed bytes shared a QUIC connection with a window of 64 KiB, of which each unread stream took up to 32 KiB; quic-go enlarges it only while bytes are read, up to its defaults.

Relayed connections now have a QUIC connection of their own, whose window is 4 MiB from the start and never larger; the window of a relayed stream is 32 to 64 KiB, that of a message's stream at most 1 MiB.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -11,6 +11,7 @@
 // copy bytes until one of them ends the connection.
 //
 // A [Node] serves peers and calls them, over one outgoing connection to each
-// that is kept open. What a message does is left to the [Handler], and whom to
+// that is kept open. Relayed connections use another one, and the bytes of both that
+// are not read are bounded. What a message does is left to the [Handler], and whom to
 // call and whether to retry to the caller.
 package peer
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,6 +70,16 @@
 	alpn               = "bulrushshed/1"
 	defaultIdleTimeout = 90 * time.Second
 	maxStreams         = 4096
+	// connWindow bounds the bytes of all streams of a connection that have arrived and are
+	// not read. It is open from the start, as a smaller one is used up by a few callers
+	// that do not read the streams relayed for them.
+	connWindow = 4 << 20
+	// streamWindow is that of one stream at its start. It grows up to maxRelayWindow for a
+	// relayed connection, which a caller may stop reading, and up to maxMessageWindow for
+	// a message, which is read at once.
+	streamWindow     = 32 << 10
+	maxRelayWindow   = 64 << 10
+	maxMessageWindow = 1 << 20
 	// keepAlive is the interval of the keep-alive packets that detect a failed
 	// peer.
 	keepAlive = 5 * time.Second
@@ -90,7 +100,7 @@
 
 	// mu guards conns. It is not held during calls.
 	mu    sync.Mutex
-	conns map[string]*pooledConn
+	conns map[connKey]*pooledConn
 }
 
 // NewNode opens the node's socket. The TLS configuration determines which peers
@@ -110,10 +120,10 @@
 	cfg = cfg.Clone()
 	cfg.NextProtos = []string{alpn}
 	n := &Node{
-		opts: o, tls: cfg, handler: h, log: log, conns: map[string]*pooledConn{},
+		opts: o, tls: cfg, handler: h, log: log, conns: map[connKey]*pooledConn{},
 		transport: &quic.Transport{Conn: socket},
 	}
-	n.listener, err = n.transport.Listen(n.serverTLS(), n.quicConfig())
+	n.listener, err = n.transport.Listen(n.serverTLS(), n.quicConfig(maxRelayWindow))
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
 	}
@@ -146,14 +156,17 @@
 	return cfg
 }
 
-func (n *Node) quicConfig() *quic.Config {
+// quicConfig returns the configuration of a connection whose streams have windows of at
+// most maxStreamWindow bytes.
+func (n *Node) quicConfig(maxStreamWindow uint64) *quic.Config {
 	idle := defaultIdleTimeout
 	if n.opts.IdleTimeout > 0 {
 		idle = n.opts.IdleTimeout
 	}
 	return &quic.Config{
 		MaxIdleTimeout: idle, KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
-		InitialStreamReceiveWindow: 32 << 10, InitialConnectionReceiveWindow: 64 << 10,
+		InitialStreamReceiveWindow: streamWindow, MaxStreamReceiveWindow: maxStreamWindow,
+		InitialConnectionReceiveWindow: connWindow, MaxConnectionReceiveWindow: connWindow,
 	}
 }
 
@@ -271,13 +284,14 @@
 
 // Call sends a message to the peer at an address and returns its reply.
 func (n *Node) Call(ctx context.Context, address string, m Message) (Reply, error) {
-	conn, err := n.conn(ctx, address)
+	key := connKey{address: address}
+	conn, err := n.conn(ctx, key)
 	if err != nil {
 		return Reply{}, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
 	}
 	r, err := n.exchange(ctx, conn, m)
 	if isRejection(err) {
-		n.forget(address, conn)
+		n.forget(key, conn)
 	}
 	return r, err
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -57,7 +57,8 @@
 // Relay opens a connection to a replica through the host at an address. The error is a
 // *relay.Error if the host answered that it cannot connect.
 func (n *Node) Relay(ctx context.Context, host string, r RelayRequest) (net.Conn, error) {
-	conn, err := n.conn(ctx, host)
+	key := connKey{address: host, relays: true}
+	conn, err := n.conn(ctx, key)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
 	}
@@ -79,7 +80,7 @@
 	}
 	_ = c.Close()
 	if isRejection(err) {
-		n.forget(host, conn)
+		n.forget(key, conn)
 	}
 	return nil, err
 }
