--- a/settings/check.go
+++ b/settings/check.go
@@ -127,7 +127,9 @@
 
 const (
 	maxBytes = 64 << 20
-	maxCount = 10_000_000
+	// maxMemoryMB is 1 TiB.
+	maxMemoryMB = 1 << 20
+	maxCount    = 10_000_000
 )
 
 func (l Limits) check(c *checker) {
@@ -140,6 +142,10 @@
 	c.count("limits.keys", l.Keys, maxCount)
 	c.count("limits.attempts", l.Attempts, 100)
 	c.count("limits.keys_per_fetch", l.KeysPerFetch, 1000)
+	c.count("limits.request_memory_mb", l.RequestMemoryMB, maxMemoryMB)
+	if l.Connections < 0 || l.Connections > maxCount {
+		c.addFault("limits.connections", fmt.Sprint(l.Connections), fmt.Sprintf("0 to %d", maxCount))
+	}
 }
 
 func (t Times) check(c *checker) {
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -43,6 +43,10 @@
 			`"name": "entry-1",`, `"name": "entry-1", "seed_peers": ["x"],`,
 			`seed_peers[0]: got "x", want an IP address and a port, such as 127.0.1.1:8080`,
 		},
+		{
+			`"name": "entry-1",`, `"name": "entry-1", "limits": {"request_memory_mb": 0, "connections": -1},`,
+			`limits.request_memory_mb: got "0", want 1 to 1048576; limits.connections: got "-1", want 0 to 10000000`,
+		},
 		{`"name": "entry-1",`, `"name": "entry-1", "times": {"probe": "0s"},`, `times.probe: got "0s", want a positive duration`},
 	} {
 		t.Run(c.replacement, func(t *testing.T) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,12 @@
 	Attempts int `json:"attempts"`
 	// KeysPerFetch bounds the idempotency keys that a caller may request at once.
 	KeysPerFetch int `json:"keys_per_fetch"`
+	// RequestMemoryMB bounds the memory, in MiB, of the requests that are being read or
+	// served.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	// Connections bounds the connections of callers; 0 means 0.7 of the descriptors that
+	// the process may use for sockets.
+	Connections int `json:"connections"`
 }
 
 // Times holds timeouts, lifetimes and intervals.
@@ -145,6 +151,7 @@
 		Limits: Limits{
 			BodyBytes: 1 << 20, PromptBytes: 256 << 10, Tokens: 4096, Streams: 4000, Calls: 4000,
 			Keys: 200_000, KeptAnswerBytes: 16 << 10, Attempts: 6, KeysPerFetch: 100,
+			RequestMemoryMB: 64,
 		},
 		Times: Times{
 			EntriesValid: seconds(5), KeyTTL: seconds(600),
