peer: bound the memory of messages from other hosts

A host held each message up to 8 or 16 MiB, on up to 4096 streams of each connection. With keys of one home, callers of all hosts together could make the home hold the bodies of all their calls, apart from its own request memory.

Messages now have entries in a ledger of package intake, of their own size so that callers under pressure do not keep out gossip.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -167,6 +167,7 @@
 func (d *Daemon) listenPeers() error {
 	node, err := peer.NewNode(peer.Options{
 		Address: d.cfg.PeerAddress, DialTimeout: d.cfg.Times.Peer.D(), MaxBytes: maxPeerBytes, Relay: d.connector,
+		Memory: max(int64(d.cfg.Limits.RequestMemoryMB)<<20/peerMemoryShare, minPeerMessages*maxPeerBytes),
 	}, d.tls, d, d.log)
 	d.peerNode = node
 	return err
@@ -176,6 +177,15 @@
 // ones carry a rule file or a request body.
 const maxPeerBytes = 8 << 20
 
+const (
+	// peerMemoryShare is the part of the memory of requests, as its reciprocal, that is
+	// added for the messages from other hosts. Forwarded calls hold most of it.
+	peerMemoryShare = 2
+	// minPeerMessages is the least memory for messages, in those of the largest size, one
+	// of which needs two buffers while it grows.
+	minPeerMessages = 2
+)
+
 // servers holds the HTTP servers of a daemon, for callers and for operators.
 type servers struct {
 	callerApp   *fiber.App
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -27,6 +27,9 @@
 	peerDialTimeout = 500 * time.Millisecond
 	// maxPeerMessageBytes bounds one message between hosts.
 	maxPeerMessageBytes = 16 << 20
+	// maxPeerMemory bounds the memory of the messages from other hosts, which are small;
+	// only answers have a configuration.
+	maxPeerMemory = 8 << 20
 )
 
 // errUnusableResponse is returned for a reply that contains no feed response,
@@ -49,7 +52,7 @@
 func newFeedRelay(h *Host, identity peerIdentity) (*feedRelay, error) {
 	r := &feedRelay{host: h, log: feed.NewLog(h.group.memberName, h.freshness.Now)}
 	node, err := peer.NewNode(peer.Options{
-		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, IdleTimeout: peerIdleTimeout,
+		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, Memory: maxPeerMemory, IdleTimeout: peerIdleTimeout,
 		Relay: h.connector,
 	}, identity.tls, r, h.log)
 	r.node = node
--- a/peer/node.go
+++ b/peer/node.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"bulrushshed/gossip"
+	"bulrushshed/intake"
 	"bulrushshed/ratelimit"
 )
 
@@ -60,6 +62,9 @@
 	DialTimeout time.Duration
 	// MaxBytes limits the size of one message.
 	MaxBytes int64
+	// Memory bounds the memory, in bytes, of the messages that are being read or handled.
+	// 0 means memoryPerMessage times MaxBytes.
+	Memory int64
 	// Relay connects to replicas for other hosts; nil refuses that.
 	Relay RelayHandler
 	// IdleTimeout is the idle timeout of a connection, or 0 for 90 s.
@@ -94,6 +99,9 @@
 	handler   Handler
 	log       *slog.Logger
 
+	// memory accounts for the messages from peers.
+	memory *intake.Ledger
+
 	// bytes counts the message bytes sent and received, without transport
 	// overhead.
 	bytes atomic.Int64
@@ -123,6 +131,7 @@
 		opts: o, tls: cfg, handler: h, log: log, conns: map[connKey]*pooledConn{},
 		transport: &quic.Transport{Conn: socket},
 	}
+	n.memory = intake.NewLedger(int(cmp.Or(o.Memory, memoryPerMessage*o.MaxBytes)))
 	n.listener, err = n.transport.Listen(n.serverTLS(), n.quicConfig(maxRelayWindow))
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
@@ -170,71 +179,6 @@
 	}
 }
 
-// Serve answers peers until ctx ends, and then closes the socket. It sends its
-// result on the returned channel.
-func (n *Node) Serve(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		done <- n.acceptConns(ctx)
-	}()
-	return done
-}
-
-func (n *Node) acceptConns(ctx context.Context) error {
-	var conns sync.WaitGroup
-	defer func() {
-		// Errors no longer matter here; peers are notified by the
-		// CONNECTION_CLOSE frame.
-		_ = n.transport.Close()
-		_ = n.transport.Conn.Close()
-		conns.Wait()
-	}()
-	for {
-		conn, err := n.listener.Accept(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return &Error{Op: "accept", Kind: ErrorUnreachable, Cause: err}
-		}
-		conns.Go(func() { n.serveConn(ctx, conn) })
-	}
-}
-
-func (n *Node) serveConn(ctx context.Context, conn *quic.Conn) {
-	var streams sync.WaitGroup
-	defer streams.Wait()
-	for {
-		s, err := conn.AcceptStream(ctx)
-		if err != nil {
-			return
-		}
-		streams.Go(func() { n.serveStream(ctx, s) })
-	}
-}
-
-func (n *Node) serveStream(ctx context.Context, s *quic.Stream) {
-	// A failure to close is irrelevant if the peer has disconnected.
-	defer func() { _ = s.Close() }()
-	var first [1]byte
-	if _, err := io.ReadFull(s, first[:]); err != nil {
-		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
-		return
-	}
-	if first[0] == relayMark {
-		n.serveRelay(ctx, s)
-		return
-	}
-	var m Message
-	if err := n.read(withFirst(first[0], s), &m); err != nil {
-		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
-		return
-	}
-	if err := n.write(s, n.handler.Handle(ctx, m)); err != nil {
-		n.log.Debug("peer: cannot write reply", "cause", err.Error())
-	}
-}
-
 func (n *Node) read(r io.Reader, out any) error {
 	body, err := io.ReadAll(io.LimitReader(r, n.opts.MaxBytes+1))
 	if err != nil {
@@ -255,8 +199,12 @@
 	if err != nil {
 		return err
 	}
+	return n.writeBytes(w, body)
+}
+
+func (n *Node) writeBytes(w io.Writer, body []byte) error {
 	n.bytes.Add(int64(len(body)))
-	_, err = w.Write(body)
+	_, err := w.Write(body)
 	return err
 }
 
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -48,12 +48,19 @@
 
 // startRelay is startNode with a handler that connects to replicas.
 func startRelay(t *testing.T, trust *trustStore, address string, r peer.RelayHandler) (n *peer.Node, pin string) {
+	t.Helper()
+	return startHandler(t, trust, peer.Options{Address: address, Relay: r}, echo{})
+}
+
+// startHandler is startNode with options and a handler.
+func startHandler(t *testing.T, trust *trustStore, o peer.Options, h peer.Handler) (n *peer.Node, pin string) {
 	t.Helper()
 	cfg, pin, err := keys.Pinned("entry", time.Now(), trust.trusts)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err = peer.NewNode(peer.Options{Address: address, DialTimeout: 5 * time.Second, MaxBytes: 1 << 20, Relay: r}, cfg, echo{}, slog.New(slog.DiscardHandler))
+	o.DialTimeout, o.MaxBytes = 5*time.Second, 1<<20
+	n, err = peer.NewNode(o, cfg, h, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -239,8 +238,3 @@
 	n.bytes.Add(copied)
 	return copied, err
 }
-
-// withFirst returns a reader of a byte that was read already and what follows it.
-func withFirst(first byte, r io.Reader) io.Reader {
-	return io.MultiReader(bytes.NewReader([]byte{first}), r)
-}
