intake: let waiting entries evict what stalls meanwhile

An entry looked for others to evict only when it asked for memory, so bodies that stalled just before that kept it out for its whole wait. Waiting entries look again each 100 ms.

The cost below which nothing is evicted is 2 s instead of 4 s.

--- a/intake/entry.go
+++ b/intake/entry.go
@@ -10,11 +10,11 @@
 	rateWindow = time.Second
 	// startCredit is counted as arrived when an entry is opened, so that a request is not
 	// evicted before it can have made progress.
-	startCredit = 32 << 10
+	startCredit = 64 << 10
 	// minEvictCost is the cost below which no entry is evicted. Without it, bodies that
 	// arrive at a good rate would evict each other just before they are complete, and none
 	// would be served under pressure.
-	minEvictCost = 4 * time.Second
+	minEvictCost = 2 * time.Second
 	// stalledWrite is the time without progress after which a response may be evicted.
 	stalledWrite = 5 * time.Second
 )
@@ -40,9 +40,10 @@
 	writingSince time.Time
 	// ready is closed when the wait for wanted bytes ends. It is nil if the entry does not
 	// wait. granted is set if it has ended with the bytes.
-	ready   chan struct{}
-	wanted  int
-	granted bool
+	ready    chan struct{}
+	wanted   int
+	waitEnds time.Time
+	granted  bool
 }
 
 // recentAt returns the bytes that have arrived recently. The time that an entry waits for
--- a/intake/evict.go
+++ b/intake/evict.go
@@ -14,25 +14,40 @@
 		l.add(e, n)
 		return Decision{Result: Granted}
 	}
+	if !l.makeRoom(e, n, now) {
+		return Decision{Result: Refused}
+	}
+	e.recent, e.observedAt = e.recentAt(now), now
+	l.count(e, -1)
+	e.ready, e.wanted, e.waitEnds = make(chan struct{}), n, now.Add(maxWait)
+	l.count(e, 1)
+	l.waiting = append(l.waiting, e)
+	return e.waiting(now)
+}
+
+// waiting returns the decision that the entry waits on.
+func (e *Entry) waiting(now time.Time) Decision {
+	until := now.Add(checkInterval)
+	if until.After(e.waitEnds) {
+		until = e.waitEnds
+	}
+	return Decision{Result: Waiting, Ready: e.ready, Until: until}
+}
+
+// makeRoom evicts entries for a reservation that does not fit. It returns false if waiting
+// for it is pointless.
+func (l *Ledger) makeRoom(e *Entry, n int, now time.Time) bool {
 	for l.shortage(e, n) > l.evictedFor(e, n) {
 		victim := l.victim(e, n, now)
 		if victim == e {
-			return Decision{Result: Refused}
+			return false
 		}
 		if victim == nil {
 			break
 		}
 		l.evict(victim, now)
 	}
-	if !l.mayFit(e, n) {
-		return Decision{Result: Refused}
-	}
-	e.recent, e.observedAt = e.recentAt(now), now
-	l.count(e, -1)
-	e.ready, e.wanted = make(chan struct{}), n
-	l.count(e, 1)
-	l.waiting = append(l.waiting, e)
-	return Decision{Result: Waiting, Ready: e.ready, Until: now.Add(maxWait)}
+	return l.mayFit(e, n)
 }
 
 // isLarge reports whether an entry would be large with n more bytes.
@@ -72,10 +87,13 @@
 // memory themselves. If not, entries would only wait for each other.
 func (l *Ledger) mayFit(e *Entry, n int) bool {
 	all, large := l.shortages(e, n)
-	others := l.all.reserved - l.all.waiting - e.held
+	others := l.all.reserved - l.all.waiting
 	othersLarge := l.large.reserved - l.large.waiting
-	if e.held > smallEntryBytes {
-		othersLarge -= e.held
+	if e.ready == nil {
+		others -= e.held
+		if e.held > smallEntryBytes {
+			othersLarge -= e.held
+		}
 	}
 	return all <= others && large <= othersLarge
 }
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -10,8 +10,10 @@
 	// capacity is reserved for small entries.
 	smallEntryBytes = 64 << 10
 	smallShare      = 8
-	// maxWait bounds the wait for memory.
-	maxWait = time.Second
+	// maxWait bounds the wait for memory, and checkInterval is the interval at which a
+	// waiting entry looks for others to evict, since they may have stalled meanwhile.
+	maxWait       = time.Second
+	checkInterval = 100 * time.Millisecond
 )
 
 // Holder owns an entry.
@@ -31,7 +33,7 @@
 	// Refused means that the request must be refused. Its entry keeps what it has.
 	Refused
 	// Waiting means that the owner must wait for Decision.Ready, at most until
-	// Decision.Until, and call Await then.
+	// Decision.Until, and call Await then, which may return Waiting again.
 	Waiting
 )
 
@@ -103,20 +105,23 @@
 	return l.reserve(e, n, now)
 }
 
-// Await returns the result of a reservation whose wait has ended. The entry is refused if
-// it has neither got the bytes nor any time left to wait.
-func (l *Ledger) Await(e *Entry, now time.Time) Result {
+// Await continues a reservation that waits. The entry is refused if it has neither got the
+// bytes nor any time left to wait.
+func (l *Ledger) Await(e *Entry, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.ready != nil {
+		if now.Before(e.waitEnds) && l.makeRoom(e, e.wanted, now) {
+			return e.waiting(now)
+		}
 		l.stopWaiting(e, now)
 		l.grantWaiting(now)
 	}
 	if !e.granted {
-		return Refused
+		return Decision{Result: Refused}
 	}
 	e.granted = false
-	return Granted
+	return Decision{Result: Granted}
 }
 
 // Return gives back n bytes of an entry, such as those of a buffer that was replaced.
