--- a/peer/memory.go
+++ b/peer/memory.go
@@ -68,17 +68,16 @@
 
 // await waits for the result of a reservation.
 func (m *messageMemory) await(d intake.Decision) error {
-	result := d.Result
-	if result == intake.Waiting {
+	for d.Result == intake.Waiting {
 		timer := time.NewTimer(time.Until(d.Until))
-		defer timer.Stop()
 		select {
 		case <-d.Ready:
 		case <-timer.C:
 		}
-		result = m.ledger.Await(&m.entry, time.Now())
+		timer.Stop()
+		d = m.ledger.Await(&m.entry, time.Now())
 	}
-	if result != intake.Granted {
+	if d.Result != intake.Granted {
 		return errNoMemory
 	}
 	return nil
