caller, ingresshttp, daemon: bound the memory of requests in the native dialect

Fiber read each body whole, up to limits.body_bytes on any number of connections, kept the buffers with the connections, and closed connections without the native error answer. Callers had neither an idle timeout of their own nor a lowest rate of bodies.

The callers' server of the native dialect is now that of package ingresshttp, with a handler of fasthttp (the routes of fiber) in place of a Forwarder, so that bodies, the ledger, timeouts, framing and lingering are shared. Refusals have the native form: 413 and 431 are invalid, 408 and 503 not_run. not_run says that a key never runs, so a refused request with an Idempotency-Key gets 502 and outcome_unknown, as an earlier copy of the call may have run. Compressed bodies are decompressed up to body_bytes, which are reserved before.

The times read and write have no effect on callers any more: 20 s for a header, 75 s idle, and 30 s without progress of a write apply.

go test ./caller (-race) ./daemon ./ingresshttp ./settings passes.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -111,10 +111,16 @@
 
 func (s *Server) readCompletion(c fiber.Ctx, f *rule.File) (completionRequest, rule.Model, error) {
 	var body completionRequest
-	dec := json.NewDecoder(bytes.NewReader(c.Body()))
+	text, err := s.readBody(c)
+	if err != nil {
+		return body, rule.Model{}, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
 	if err := dec.Decode(&body); err != nil {
 		return body, rule.Model{}, invalid("body", "got "+err.Error()+", want a JSON object")
 	}
+	// While the completion runs, only the decoded prompt is held.
+	c.Request().ResetBody()
 	model, ok := f.Model(body.Model)
 	switch {
 	case !ok:
--- a/caller/error.go
+++ b/caller/error.go
@@ -43,8 +43,12 @@
 	case outcome.Invalid:
 		return invalidStatus(o.Cause)
 	case outcome.NotRun:
-		if o.Cause == outcome.CauseLimit {
+		switch o.Cause {
+		case outcome.CauseLimit:
 			return fiber.StatusTooManyRequests
+		case outcome.CauseSlowBody:
+			return fiber.StatusRequestTimeout
+		default:
 		}
 		return fiber.StatusServiceUnavailable
 	case outcome.Answered, outcome.Unknown:
@@ -59,6 +63,10 @@
 	switch cause {
 	case outcome.CauseNoRule:
 		return fiber.StatusNotFound
+	case outcome.CauseTooLarge:
+		return fiber.StatusRequestEntityTooLarge
+	case outcome.CauseHeaderTooLarge:
+		return fiber.StatusRequestHeaderFieldsTooLarge
 	case outcome.CauseKeyReused:
 		return fiber.StatusUnprocessableEntity
 	default:
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,8 @@
 
 	"bulrushshed/completion"
 	"bulrushshed/delivery"
+	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/outcome"
 	"bulrushshed/rule"
 	"bulrushshed/service"
@@ -82,6 +84,10 @@
 
 // Options are the limits and timeouts of a Server.
 type Options struct {
+	// Ledger bounds the memory of requests.
+	Ledger *intake.Ledger
+	// BodyPace is the lowest rate of bodies; zero means the default of package ingresshttp.
+	BodyPace       intake.Pace
 	MaxBodyBytes   int
 	MaxPromptBytes int
 	MaxTokens      int
@@ -89,8 +95,6 @@
 	// /v1/entries, and EntriesValid is how long callers may cache its entries.
 	KeysPerFetch int
 	EntriesValid time.Duration
-	ReadTimeout  time.Duration
-	WriteTimeout time.Duration
 	// FirstTokenWait is how long a stream waits for its first token before the
 	// response header is sent. A request that fails within that time gets the status
 	// of its error.
@@ -119,12 +123,16 @@
 	return &Server{opts: o, completer: c, deliverer: d, gate: g, rules: r, entries: e, meter: m, log: log, workCtx: ctx}
 }
 
-// App returns the HTTP application.
-func (s *Server) App() *fiber.App {
-	app := fiber.New(fiber.Config{
-		Immutable: true, BodyLimit: s.opts.MaxBodyBytes, ReadTimeout: s.opts.ReadTimeout, WriteTimeout: s.opts.WriteTimeout,
-		ErrorHandler: s.respondMalformed,
-	})
+// HTTPServer returns the HTTP server. It bounds the memory of requests by the ledger of the
+// options. Once stopping returns true, connections are closed after each response.
+func (s *Server) HTTPServer(stopping func() bool) *ingresshttp.Server {
+	return ingresshttp.NewHandlerServer(s.workCtx, ingresshttp.Options{
+		Stopping: stopping, Ledger: s.opts.Ledger, BodyPace: s.opts.BodyPace, MaxBodyBytes: s.opts.MaxBodyBytes, Log: s.log,
+	}, s.app().Handler(), s.refuse)
+}
+
+func (s *Server) app() *fiber.App {
+	app := fiber.New(fiber.Config{Immutable: true, BodyLimit: s.opts.MaxBodyBytes, ErrorHandler: s.respondMalformed})
 	app.Get("/v1/entries", s.serveEntries)
 	app.Post("/v1/completions", s.serveCompletion)
 	app.All("/*", s.serveCall)
@@ -184,9 +192,13 @@
 	if info.customer == "" {
 		return s.respondError(c, info, invalid(HeaderCustomer, "got no customer, want its name"))
 	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return s.respondError(c, info, err)
+	}
 	answer, err := s.deliverer.Deliver(s.workCtx, delivery.Request{
 		ID: info.id, Customer: info.customer, Class: class, Method: c.Method(), Path: originalTarget(c),
-		Key: c.Get(HeaderKey), ContentType: c.Get(fiber.HeaderContentType), Body: c.Body(),
+		Key: c.Get(HeaderKey), ContentType: c.Get(fiber.HeaderContentType), Body: body,
 		Deadline: info.start.Add(class.Deadline),
 	})
 	if err != nil {
@@ -255,8 +267,7 @@
 	}
 	c.Set(HeaderOutcome, string(o.Kind))
 	if o.RetryAfter > 0 {
-		seconds := (o.RetryAfter + time.Second - 1) / time.Second
-		c.Set(HeaderRetryAfter, strconv.Itoa(int(seconds)))
+		c.Set(HeaderRetryAfter, retryAfterSeconds(o.RetryAfter))
 	}
 	return c.Status(httpStatus(o)).JSON(newErrorResponse(o))
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,8 @@
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
 	"bulrushshed/hostlog"
+	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/loop"
 	"bulrushshed/meter"
 	"bulrushshed/operator"
@@ -71,6 +73,9 @@
 	// deliverer is set by newDeliverer, before Run starts anything.
 	deliverer *delivery.Deliverer
 
+	// requestMemory bounds the memory of callers' requests.
+	requestMemory *intake.Ledger
+
 	limits  *ratelimit.Limits
 	limiter *ratelimit.Limiter
 	// peerNode is set by Run before its first use.
@@ -94,6 +99,8 @@
 	joined atomic.Bool
 	// draining is set once, when a graceful shutdown begins.
 	draining atomic.Bool
+	// closing is set once, when no further requests are accepted.
+	closing atomic.Bool
 	// listETag and listedHosts are the ETag and the hosts of the platform's host
 	// list as last read, at listReadAt. Only the refreshHosts loop uses them.
 	listETag    string
@@ -188,8 +195,9 @@
 
 // servers holds the HTTP servers of a daemon, for callers and for operators.
 type servers struct {
-	callerApp   *fiber.App
-	operatorApp *fiber.App
+	callers        *ingresshttp.Server
+	callerListener net.Listener
+	operatorApp    *fiber.App
 	// failed receives the error with which a server ends.
 	failed chan error
 }
@@ -197,15 +205,14 @@
 var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
 
 func (d *Daemon) serveCallers(s *servers) error {
-	s.callerApp = d.callerServer.App()
-	// After the shutdown has begun, responses on keep-alive connections ask the
-	// caller to close the connection.
-	s.callerApp.Server().CloseOnShutdown = true
 	ln, err := net.Listen("tcp", d.cfg.CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	go func() { s.failed <- s.callerApp.Listener(callerListener{ln}, listenConfig) }()
+	// At the end of a shutdown, connections are closed after their responses.
+	s.callers = d.callerServer.HTTPServer(d.closing.Load)
+	s.callerListener = callerListener{ln}
+	go func() { s.failed <- s.callers.Serve(s.callerListener) }()
 	return nil
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -33,6 +33,7 @@
 	d.sleepUntil(leaveKnownAt.Add(d.cfg.Times.EntriesValid.D()), deadline)
 	// From here on, calls with new keys are refused, and the running ones end.
 	d.claims.Close()
+	d.closing.Store(true)
 	d.pollUntil(func() bool { return d.gate.ActiveRequests() == 0 && d.claims.Running() == 0 }, deadline)
 	d.connector.Stop()
 	d.pollUntil(func() bool { return d.connector.Relayed() == 0 }, deadline)
@@ -43,9 +44,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := s.callerApp.ShutdownWithContext(ctx); err != nil {
-		d.log.Warn("daemon: server for callers did not shut down cleanly", "cause", err.Error())
+	if err := s.callerListener.Close(); err != nil {
+		d.log.Warn("daemon: listener for callers did not close cleanly", "cause", err.Error())
 	}
+	// The last bytes of responses may still be on their way to the network.
+	d.pollUntil(func() bool { return s.callers.Active() == 0 }, time.Now().Add(closeTimeout))
 	if err := s.operatorApp.ShutdownWithContext(ctx); err != nil {
 		d.log.Warn("daemon: server for operators did not shut down cleanly", "cause", err.Error())
 	}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,6 +18,7 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
+	"bulrushshed/intake"
 	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
 	"bulrushshed/lease"
@@ -37,6 +38,10 @@
 	maxCustomers = 6000
 	maxClasses   = 100
 
+	// minRequestMemory is the least memory of requests, in bodies of the largest size: the
+	// last two buffers of such a body, and what is reserved for small requests.
+	minRequestMemory = 3
+
 	// firstTokenWait is how long a stream waits for its first token before its HTTP
 	// status is sent without it.
 	firstTokenWait = 2 * time.Second
@@ -117,6 +122,7 @@
 		allocator:       admit.NewAllocator(shareTTL),
 		demandEstimator: admit.NewDemandEstimator(),
 		meter:           meter.New(maxCustomers, maxClasses),
+		requestMemory:   intake.NewLedger(max(cfg.Limits.RequestMemoryMB<<20, minRequestMemory*cfg.Limits.BodyBytes)),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
 	d.dialer = newDialer(d, do.MustInvoke[DirectDial](i))
@@ -142,6 +148,9 @@
 func (d *Daemon) registerGauges() {
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.follower.Current().Version) })
 	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.ActiveRequests()) })
+	d.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(d.requestMemory.Stats().Reserved) })
+	d.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(d.requestMemory.Stats().Capacity) })
+	d.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(d.requestMemory.Stats().Evicted) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
 	d.meter.Gauge("bulrushshed_waiting", func() float64 { return float64(d.gate.Waiting()) })
 	d.meter.Gauge("bulrushshed_journal_pending", func() float64 { return float64(d.journal.Pending()) })
@@ -190,6 +199,6 @@
 	ctx := context.Background()
 	return caller.NewServer(ctx, caller.Options{
 		MaxBodyBytes: l.BodyBytes, MaxPromptBytes: l.PromptBytes, MaxTokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
-		EntriesValid: t.EntriesValid.D(), ReadTimeout: t.Read.D(), WriteTimeout: t.Write.D(), FirstTokenWait: firstTokenWait,
+		EntriesValid: t.EntriesValid.D(), FirstTokenWait: firstTokenWait, Ledger: d.requestMemory,
 	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), streamGate{d.gate, d}, d.follower, planner{d}, d.meter, d.log), nil
 }
--- a/ingresshttp/framing.go
+++ b/ingresshttp/framing.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 
 	"github.com/valyala/fasthttp"
 )
 
+// errAmbiguousFraming is why a request is refused whose length is ambiguous.
+var errAmbiguousFraming = errors.New("ambiguous framing")
+
 // hasAmbiguousFraming reports whether a proxy in front of this host may delimit a request
 // differently, which could be used for request smuggling. That is so for one that has both
 // a Transfer-Encoding and a Content-Length, a coding other than chunked (which fasthttp
--- a/ingresshttp/refusal.go
+++ b/ingresshttp/refusal.go
@@ -1,7 +1,6 @@
 package ingresshttp
 
 import (
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -49,9 +48,13 @@
 // refuse responds to a request whose body was not read to its end.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *refusal) {
 	s.record(r)
+	after := retryDelay(r.status)
+	if s.writeRefusal != nil {
+		s.writeRefusal(ctx, Refusal{Status: r.status, Cause: r.cause, RetryAfter: after})
+		return
+	}
 	ctx.SetStatusCode(r.status)
-	if r.status == fasthttp.StatusServiceUnavailable {
-		after := minMemoryRetryAfter + rand.N(maxMemoryRetryAfter-minMemoryRetryAfter)
+	if after > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(after))
 	}
 }
--- a/ingresshttp/screen.go
+++ b/ingresshttp/screen.go
@@ -1,6 +1,7 @@
 package ingresshttp
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,7 +25,7 @@
 }
 
 // bodyLimit returns the maximum size of a body.
-func (s *Server) bodyLimit() int { return maxBodyBytes }
+func (s *Server) bodyLimit() int { return cmp.Or(s.opts.MaxBodyBytes, maxBodyBytes) }
 
 // hasBody reports whether a request has a body that is not empty. The length is negative
 // for a chunked body.
@@ -91,6 +92,10 @@
 	switch {
 	case r == nil:
 		return fasthttp.StatusContinue
+	case s.writeRefusal != nil:
+		// The answer of the handler's server has more than the status.
+		s.rejections.Store(h, r)
+		return fasthttp.StatusContinue
 	case r.refusal != nil:
 		s.record(r.refusal)
 		return r.refusal.status
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -59,6 +59,8 @@
 	Ledger *intake.Ledger
 	// BodyPace is the lowest rate of bodies. If it is zero, defaultBodyPace is used.
 	BodyPace intake.Pace
+	// MaxBodyBytes bounds the body of a request; 0 means maxBodyBytes.
+	MaxBodyBytes int
 	// CountRefusal counts a refused request by its cause. It may be nil.
 	CountRefusal func(cause string)
 	Log          *slog.Logger
@@ -69,7 +71,10 @@
 	baseCtx   context.Context
 	opts      Options
 	forwarder Forwarder
-	http      *fasthttp.Server
+	// handler and writeRefusal are set if the server has a handler in place of a forwarder.
+	handler      fasthttp.RequestHandler
+	writeRefusal func(ctx *fasthttp.RequestCtx, r Refusal)
+	http         *fasthttp.Server
 	// active counts the connections with a request that is being read or answered.
 	active     atomic.Int64
 	logLimiter intake.LogLimiter
@@ -164,11 +169,14 @@
 		return
 	}
 	if hasAmbiguousFraming(&ctx.Request.Header) {
-		s.opts.Log.Info("ingress: malformed request rejected, closing the connection", "cause", "ambiguous_framing", "status", fasthttp.StatusBadRequest)
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		s.refuse(ctx, newRefusal(causeMalformed, errAmbiguousFraming))
 		s.closeAfterAnswer(ctx)
 		return
 	}
+	if s.handler != nil {
+		s.serveHandler(ctx, conn)
+		return
+	}
 	req := s.copyHeader(&ctx.Request.Header)
 	if !s.receiveBody(ctx, conn, req) {
 		return
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -34,7 +34,15 @@
 	// CauseLimit means that the customer is over its rate limit.
 	CauseLimit Cause = "limit"
 	// CauseBusy means that the home has no room for another key.
-	CauseBusy     Cause = "busy"
+	CauseBusy Cause = "busy"
+	// CauseTooLarge means that the body exceeds its limit, and CauseHeaderTooLarge that the
+	// header does.
+	CauseTooLarge       Cause = "too_large"
+	CauseHeaderTooLarge Cause = "header_too_large"
+	// CauseMemory means that the host has no memory for the request, and CauseSlowBody
+	// that its body arrived too slowly.
+	CauseMemory   Cause = "memory"
+	CauseSlowBody Cause = "slow_body"
 	CauseDeadline Cause = "deadline"
 	// CauseEndpointLimit means that the endpoints take no more requests for a moment.
 	CauseEndpointLimit Cause = "endpoint_limit"
