--- a/caller/server.go
+++ b/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -15,6 +16,7 @@
 
 	"bulrushshed/completion"
 	"bulrushshed/delivery"
+	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
 	"bulrushshed/intake"
 	"bulrushshed/outcome"
@@ -95,6 +97,11 @@
 	// /v1/entries, and EntriesValid is how long callers may cache its entries.
 	KeysPerFetch int
 	EntriesValid time.Duration
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its
+	// header; 0 means the default of package ingress.
+	HeaderTimeout time.Duration
+	// Connections bounds the connections.
+	Connections ingresshttp.ConnectionOptions
 	// FirstTokenWait is how long a stream waits for its first token before the
 	// response header is sent. A request that fails within that time gets the status
 	// of its error.
@@ -123,11 +130,19 @@
 	return &Server{opts: o, completer: c, deliverer: d, gate: g, rules: r, entries: e, meter: m, log: log, workCtx: ctx}
 }
 
+// maxHeaderBytes bounds the header of a request. Each request that is being read or served
+// counts as holding as much.
+const maxHeaderBytes = 8 << 10
+
 // HTTPServer returns the HTTP server. It bounds the memory of requests by the ledger of the
 // options. Once stopping returns true, connections are closed after each response.
 func (s *Server) HTTPServer(stopping func() bool) *ingresshttp.Server {
+	limits := ingress.DefaultLimits()
+	limits.BodyBytes = s.opts.MaxBodyBytes
+	limits.HeaderTimeout = cmp.Or(s.opts.HeaderTimeout, limits.HeaderTimeout)
 	return ingresshttp.NewHandlerServer(s.workCtx, ingresshttp.Options{
-		Stopping: stopping, Ledger: s.opts.Ledger, BodyPace: s.opts.BodyPace, MaxBodyBytes: s.opts.MaxBodyBytes, Log: s.log,
+		Stopping: stopping, Ledger: s.opts.Ledger, BodyPace: s.opts.BodyPace, Log: s.log,
+		Limits: func() ingress.Limits { return limits }, HeaderBytes: maxHeaderBytes, Connections: s.opts.Connections,
 	}, s.app().Handler(), s.refuse)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
+	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -73,8 +76,10 @@
 	// deliverer is set by newDeliverer, before Run starts anything.
 	deliverer *delivery.Deliverer
 
-	// requestMemory bounds the memory of callers' requests.
-	requestMemory *intake.Ledger
+	// requestMemory bounds the memory of callers' requests, and maxConnections their
+	// connections.
+	requestMemory  *intake.Ledger
+	maxConnections int
 
 	limits  *ratelimit.Limits
 	limiter *ratelimit.Limiter
@@ -122,8 +127,12 @@
 	}
 }
 
-// Run serves until stop is cancelled, and then shuts down gracefully. i is an
-// injector returned by Wire.
+// errServerEnded is the error of a server that ends before the shutdown.
+var errServerEnded = errors.New("server ended")
+
+// Run serves until stop is cancelled, and then shuts down gracefully. If one of the servers
+// fails, it shuts down in the same way and returns the error. i is an injector returned by
+// Wire.
 func Run(stop context.Context, i do.Injector) error {
 	d, err := do.Invoke[*Daemon](i)
 	if err != nil {
@@ -140,7 +149,9 @@
 	if err := d.listenPeers(); err != nil {
 		return err
 	}
-	servers := &servers{failed: make(chan error, 2)}
+	// At the end of a shutdown, connections are closed after their responses.
+	servers := &servers{callers: d.callerServer.HTTPServer(d.closing.Load), failed: make(chan error, 2)}
+	d.meter.Gauge("bulrushshed_connections", func() float64 { return float64(servers.callers.Connections()) })
 	if err := d.serveOperators(servers); err != nil {
 		return err
 	}
@@ -153,10 +164,12 @@
 	d.announceSelf(workCtx)
 	d.log.Info("daemon: serving", "callers", d.cfg.CallerAddress, "operators", d.cfg.OperatorAddress,
 		"peers", d.cfg.PeerAddress, "incarnation", d.self.Incarnation)
+	var failure error
 	select {
 	case <-stop.Done():
 	case err := <-servers.failed:
-		return eris.Wrap(err, "serve")
+		failure = eris.Wrap(cmp.Or(err, errServerEnded), "serve")
+		d.log.Error("daemon: a server failed, stopping", "cause", failure.Error())
 	}
 	d.drain(servers)
 	cancel()
@@ -168,7 +181,7 @@
 		}
 	}
 	d.log.Info("daemon: stopped")
-	return nil
+	return failure
 }
 
 func (d *Daemon) listenPeers() error {
@@ -209,8 +222,6 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	// At the end of a shutdown, connections are closed after their responses.
-	s.callers = d.callerServer.HTTPServer(d.closing.Load)
 	s.callerListener = callerListener{ln}
 	go func() { s.failed <- s.callers.Serve(s.callerListener) }()
 	return nil
@@ -243,7 +254,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
-	go func() { s.failed <- s.operatorApp.Listener(ln, listenConfig) }()
+	// When no descriptor is left, callers give up idle connections.
+	accepting := accept.NewListener(ln, accept.Options{Exhausted: s.callers.CloseIdle, Log: d.log})
+	go func() { s.failed <- s.operatorApp.Listener(accepting, listenConfig) }()
 	return nil
 }
 
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -35,6 +35,10 @@
 	revoke time.Duration
 	// grace is the time that a host has to stop, or 0 for 3 s.
 	grace time.Duration
+	// listen opens the listeners of a host. Nil means net.Listen.
+	listen hosted.Listen
+	// maxConnections bounds the connections of callers, or is 0 for the default.
+	maxConnections int
 }
 
 type entryHost struct {
@@ -119,6 +123,7 @@
 	cfg.StoreAddress = proxy.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(cmp.Or(f.grace, 3*time.Second))
+	cfg.MaxConnections = f.maxConnections
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
 	}
@@ -126,6 +131,9 @@
 	h := &entryHost{cfg: cfg, proxy: proxy, links: &links{}, stop: cancel, done: make(chan error, 1)}
 	injector := hosted.Wire(cfg)
 	do.OverrideValue(injector, hosted.DirectDial(h.links.dial))
+	if f.listen != nil {
+		do.OverrideValue(injector, f.listen)
+	}
 	go func() { h.done <- hosted.Run(ctx, injector) }()
 	t.Cleanup(func() {
 		cancel()
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -1,14 +1,17 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"os"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -18,6 +21,7 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
+	"bulrushshed/ingresshttp"
 	"bulrushshed/intake"
 	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
@@ -122,6 +126,7 @@
 		allocator:       admit.NewAllocator(shareTTL),
 		demandEstimator: admit.NewDemandEstimator(),
 		meter:           meter.New(maxCustomers, maxClasses),
+		maxConnections:  cmp.Or(cfg.Limits.Connections, defaultMaxConnections()),
 		requestMemory:   intake.NewLedger(max(cfg.Limits.RequestMemoryMB<<20, minRequestMemory*cfg.Limits.BodyBytes)),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
@@ -145,12 +150,19 @@
 	return d, nil
 }
 
+// defaultMaxConnections returns the bound on callers' connections that the descriptors of
+// the process permit. Their memory is bounded by that of requests.
+func defaultMaxConnections() int {
+	return intake.DefaultMaxConnections(accept.DescriptorLimit(settings.MaxDescriptors)-accept.FileDescriptors, math.MaxInt64)
+}
+
 func (d *Daemon) registerGauges() {
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.follower.Current().Version) })
 	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.ActiveRequests()) })
 	d.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(d.requestMemory.Stats().Reserved) })
 	d.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(d.requestMemory.Stats().Capacity) })
 	d.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(d.requestMemory.Stats().Evicted) })
+	d.meter.Gauge("bulrushshed_connections_max", func() float64 { return float64(d.maxConnections) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
 	d.meter.Gauge("bulrushshed_waiting", func() float64 { return float64(d.gate.Waiting()) })
 	d.meter.Gauge("bulrushshed_journal_pending", func() float64 { return float64(d.journal.Pending()) })
@@ -200,5 +212,8 @@
 	return caller.NewServer(ctx, caller.Options{
 		MaxBodyBytes: l.BodyBytes, MaxPromptBytes: l.PromptBytes, MaxTokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
 		EntriesValid: t.EntriesValid.D(), FirstTokenWait: firstTokenWait, Ledger: d.requestMemory,
+		HeaderTimeout: t.Read.D(), Connections: ingresshttp.ConnectionOptions{
+			ConnectionOptions: intake.ConnectionOptions{Max: d.maxConnections}, Closed: ingresshttp.ReportClosed(d.meter, d.log),
+		},
 	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), streamGate{d.gate, d}, d.follower, planner{d}, d.meter, d.log), nil
 }
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -7,24 +7,22 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
-
-// Listener accepts connections that detect when the peer disconnects while its
-// request is served.
-type Listener struct{ net.Listener }
 
-// Accept waits for the next connection and returns it.
-func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &watchedConn{Conn: conn}, nil
-}
+	"bulrushshed/intake"
+)
 
 // watchedConn reads one byte ahead while it is watched, to detect a disconnect.
 type watchedConn struct {
 	net.Conn
+	server *connections
+	// phase is what the connection reads next, and answered whether a request has been
+	// answered on it.
+	phase    phase
+	answered bool
+	// beganAt is when the first byte of the request arrived, and headerTimeout the time that
+	// its header has from then on.
+	beganAt       time.Time
+	headerTimeout time.Duration
 	// active is set while the connection has a request that is being read or answered.
 	active atomic.Bool
 	// memory is the account of the request. evicted is set when the ledger has ended its
@@ -43,9 +41,22 @@
 	readDone chan struct{}
 }
 
-// Read returns the byte that was read ahead, if any, before reading on. It does not return
-// without a byte or an error, with which fasthttp's reader of the first byte panics.
+// Read reads from the connection. The first byte of a request starts the time for its
+// header.
 func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.readNext(p)
+	if n > 0 {
+		return c.received(n, err)
+	}
+	if c.phase == phaseHeader && !c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.closed(c, intake.CauseHeaderTimeout)
+	}
+	return n, err
+}
+
+// readNext returns the byte that was read ahead, if any, before reading on. It does not
+// return without a byte or an error, with which fasthttp's reader of the first byte panics.
+func (c *watchedConn) readNext(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.hasReadAhead && len(p) > 0 {
 		p[0] = c.readAhead[0]
@@ -74,8 +85,12 @@
 
 // watch calls onClose if the peer closes the connection before unwatch is called. It
 // reads one byte for that, so a disconnect after the first byte of a pipelined request
-// goes unnoticed.
+// goes unnoticed. The request must have been read completely: from here on the connection
+// is not closed at the bound.
 func (c *watchedConn) watch(onClose func()) {
+	if !c.server.table.Serve(c) {
+		onClose()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.hasReadAhead || c.readDone != nil {
@@ -83,7 +98,7 @@
 	}
 	done := make(chan struct{})
 	c.readDone = done
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
 		n, err := c.Conn.Read(c.readAhead[:])
@@ -109,7 +124,7 @@
 		return
 	}
 	// A deadline in the past ends the read at once.
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-done
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 }
--- a/ingresshttp/handler.go
+++ b/ingresshttp/handler.go
@@ -12,7 +12,7 @@
 
 // streamBytes is the memory that a handler's streaming response holds: the buffers between
 // the goroutine that writes it and the connection.
-const streamBytes = 16 << 10
+const streamBytes = 8 << 10
 
 // Refusal is how a server refuses a request that was not read completely.
 type Refusal struct {
@@ -43,6 +43,11 @@
 	if !s.receiveBody(ctx, conn, &req) {
 		return
 	}
+	if !conn.server.table.Serve(conn) {
+		// The connection was closed at the bound, and the request must not run.
+		ctx.SetConnectionClose()
+		return
+	}
 	ctx.Request.SetBodyRaw(req.Body)
 	s.handler(ctx)
 	if s.opts.Stopping() {
--- a/ingresshttp/memory.go
+++ b/ingresshttp/memory.go
@@ -48,7 +48,7 @@
 	conn.evicted.Store(false)
 	conn.writeEvicted.Store(false)
 	now := time.Now()
-	_, ok := m.await(m.ledger.Open(&m.entry, conn, maxHeaderBytes, now), now)
+	_, ok := m.await(m.ledger.Open(&m.entry, conn, s.opts.HeaderBytes, now), now)
 	m.refused = !ok
 }
 
@@ -75,9 +75,9 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
-// SetReadDeadline sets the deadline of reads, unless the request is evicted and its reads
+// setReadDeadline sets the deadline of reads, unless the request is evicted and its reads
 // must end.
-func (c *watchedConn) SetReadDeadline(t time.Time) error {
+func (c *watchedConn) setReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() {
 		err = c.Conn.SetReadDeadline(past)
@@ -90,7 +90,7 @@
 	if c.memory.ledger != nil {
 		c.memory.ledger.BeginWrite(&c.memory.entry, time.Now())
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.server.deadlines.writeTimeout)); err != nil {
 		return err
 	}
 	if c.writeEvicted.Load() {
--- a/ingresshttp/refusal.go
+++ b/ingresshttp/refusal.go
@@ -61,7 +61,8 @@
 
 // record counts and logs a refusal.
 func (s *Server) record(r *refusal) {
-	if s.opts.CountRefusal != nil && r.cause != causeMalformed {
+	// The connection reports the time-out of a header.
+	if s.opts.CountRefusal != nil && r.cause != causeMalformed && r.cause != causeHeaderTimeout {
 		s.opts.CountRefusal(r.cause)
 	}
 	omitted, ok := s.logLimiter.Allow(r.cause, time.Now())
--- a/ingresshttp/screen.go
+++ b/ingresshttp/screen.go
@@ -1,7 +1,6 @@
 package ingresshttp
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,7 +24,7 @@
 }
 
 // bodyLimit returns the maximum size of a body.
-func (s *Server) bodyLimit() int { return cmp.Or(s.opts.MaxBodyBytes, maxBodyBytes) }
+func (s *Server) bodyLimit() int { return s.conns.deadlines.limits().BodyBytes }
 
 // hasBody reports whether a request has a body that is not empty. The length is negative
 // for a chunked body.
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -16,18 +16,14 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushshed/forward"
+	"bulrushshed/ingress"
 	"bulrushshed/intake"
 )
 
 const (
-	// readTimeout limits reading a request.
-	readTimeout = 20 * time.Second
-	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout = 75 * time.Second
 	// writeTimeout limits how long a caller may take to accept more bytes of a response.
 	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 32 << 10
-	maxBodyBytes   = 8 << 20
 	// defaultRequestMemory is the capacity, in bytes, of the default ledger.
 	defaultRequestMemory = 64 << 20
 )
@@ -59,11 +55,17 @@
 	Ledger *intake.Ledger
 	// BodyPace is the lowest rate of bodies. If it is zero, defaultBodyPace is used.
 	BodyPace intake.Pace
-	// MaxBodyBytes bounds the body of a request; 0 means maxBodyBytes.
-	MaxBodyBytes int
 	// CountRefusal counts a refused request by its cause. It may be nil.
 	CountRefusal func(cause string)
-	Log          *slog.Logger
+	// Limits returns the limits of the newest configuration. It may be nil, in which case
+	// the defaults apply.
+	Limits func() ingress.Limits
+	// HeaderBytes is the size of the read buffer of a connection, which bounds the header of
+	// a request; 0 means maxHeaderBytes.
+	HeaderBytes int
+	// Connections bounds the connections.
+	Connections ConnectionOptions
+	Log         *slog.Logger
 }
 
 // Server is the HTTP server for callers.
@@ -75,6 +77,7 @@
 	handler      fasthttp.RequestHandler
 	writeRefusal func(ctx *fasthttp.RequestCtx, r Refusal)
 	http         *fasthttp.Server
+	conns        *connections
 	// active counts the connections with a request that is being read or answered.
 	active     atomic.Int64
 	logLimiter intake.LogLimiter
@@ -89,11 +92,15 @@
 func NewServer(ctx context.Context, opts Options, next Forwarder) *Server {
 	opts.Ledger = cmp.Or(opts.Ledger, intake.NewLedger(defaultRequestMemory))
 	opts.BodyPace = cmp.Or(opts.BodyPace, defaultBodyPace)
-	s := &Server{baseCtx: ctx, opts: opts, forwarder: next, lingering: make(chan struct{}, maxLingering)}
+	opts.HeaderBytes = cmp.Or(opts.HeaderBytes, maxHeaderBytes)
+	s := &Server{
+		baseCtx: ctx, opts: opts, forwarder: next, lingering: make(chan struct{}, maxLingering),
+		conns: newConnections(opts.Connections, &deadlines{limits: limitsOrDefault(opts.Limits), writeTimeout: writeTimeout}),
+	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError, HeaderReceived: s.screenHeader, ExpectHandler: s.decideExpectation,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ConnState: s.trackState,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
+		ConnState:      s.trackState,
+		ReadBufferSize: opts.HeaderBytes, MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
@@ -117,6 +124,7 @@
 	if !ok {
 		return
 	}
+	conn.trackPhase(state)
 	active := state == fasthttp.StateActive
 	if conn.active.Swap(active) == active {
 		return
@@ -130,8 +138,17 @@
 	conn.endRequest()
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(Listener{ln}) }
+// Serve accepts connections until the listener is closed. Transient errors do not end it.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(s.conns.listen(ln, s.opts.Log))
+}
+
+// Connections returns the number of connections.
+func (s *Server) Connections() int { return s.conns.table.Len() }
+
+// CloseIdle closes some idle connections, for other parts of the host that need
+// descriptors.
+func (s *Server) CloseIdle() { s.conns.closeIdle() }
 
 // headerErrorPrefix begins fasthttp's errors of reading a header, unlike those of a body.
 const headerErrorPrefix = "error when reading request headers"
--- a/intake/doc.go
+++ b/intake/doc.go
@@ -1,4 +1,4 @@
-// Package intake bounds what callers may hold on a host.
+// Package intake bounds what callers that a host does not control may hold on it.
 //
 // A [Ledger] bounds the memory of requests. Each request that is being read or served has
 // an [Entry], and bytes are reserved for it before they are read. If a reservation does not
@@ -10,6 +10,9 @@
 // [Pace] decides until when the next bytes of a body must arrive, and [LogLimiter] which
 // refusals are logged.
 //
+// [Connections] bounds the connections of a server and chooses which one to close at the
+// bound. [Notices] bounds the log lines about refusals.
+//
 // The package reads no clock, does no I/O and starts no goroutine. It tells the owner of an
-// entry through [Holder] that the entry is evicted.
+// entry through [Holder] that the entry is evicted; the owner closes connections.
 package intake
