--- a/accept/listener.go
+++ b/accept/listener.go
@@ -29,11 +29,10 @@
 // Listener is a listener whose Accept continues after transient errors.
 type Listener struct {
 	net.Listener
-	opts      Options
-	closed    chan struct{}
-	closeOnce sync.Once
-	// notices bounds the log lines.
-	notices intake.Notices
+	opts       Options
+	closed     chan struct{}
+	closeOnce  sync.Once
+	logLimiter intake.LogLimiter
 }
 
 // NewListener returns a listener that accepts the connections of ln.
@@ -53,7 +52,7 @@
 			l.opts.Exhausted()
 		}
 		pause := pauseAfter(failures)
-		if omitted, ok := l.notices.Allow("", time.Now()); ok {
+		if omitted, ok := l.logLimiter.Allow("", time.Now()); ok {
 			l.opts.Log.Warn("listener: accepting a connection failed", "address", l.Addr().String(), "cause", err.Error(),
 				"failures", failures+1, "pause_ms", pause.Milliseconds(), "omitted", omitted)
 		}
--- a/daemon/hosted/connections.go
+++ b/daemon/hosted/connections.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// requestMemoryFraction is the fraction of settings.Host.MemoryMB that requests may hold.
-	requestMemoryFraction = 0.25
 	// auxiliaryFraction is the fraction of the descriptors for sockets that each of the
 	// servers for directory, readiness and metrics may use, and maxAuxiliary an upper bound.
 	// With the share of callers at least 0.18 remains for replicas, the store and other hosts.
@@ -38,7 +36,7 @@
 	sockets := descriptors - accept.FileDescriptors
 	callers := cfg.MaxConnections
 	if callers == 0 {
-		callers = intake.DefaultMaxConnections(sockets, int64(requestMemoryFraction*float64(cfg.MemoryMB))<<20)
+		callers = intake.DefaultMaxConnections(sockets, int64(cfg.RequestMemoryBytes()))
 	}
 	return connectionBounds{
 		callers:   intake.ConnectionOptions{Max: callers, MaxPerAddress: cfg.MaxConnectionsPerAddress},
--- a/daemon/hosted/host_test.go
+++ b/daemon/hosted/host_test.go
@@ -35,6 +35,8 @@
 	revoke time.Duration
 	// grace is the time that a host has to stop, or 0 for 3 s.
 	grace time.Duration
+	// adjust changes the settings of host n, if it is not nil.
+	adjust func(n int, cfg *settings.Host)
 	// listen opens the listeners of a host. Nil means net.Listen.
 	listen hosted.Listen
 	// maxConnections bounds the connections of callers, or is 0 for the default.
@@ -123,6 +125,9 @@
 	cfg.StoreAddress = proxy.address()
 	cfg.Log.Level = "error"
 	cfg.Grace = settings.Duration(cmp.Or(f.grace, 3*time.Second))
+	if f.adjust != nil {
+		f.adjust(n, &cfg)
+	}
 	cfg.MaxConnections = f.maxConnections
 	if f.revoke > 0 {
 		cfg.Revoke = settings.Duration(f.revoke)
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -60,7 +60,9 @@
 		bounds:    newConnectionBounds(cfg, accept.DescriptorLimit(settings.MaxDescriptors)),
 	}
 	h.reportClosed = ingresshttp.ReportClosed(h.meter, h.log)
-	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
+	h.store = platform.NewStore(platform.StoreOptions{
+		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
+	})
 	identity, err := newPeerIdentity(cfg.Name, h)
 	if err != nil {
 		return nil, err
@@ -95,7 +97,8 @@
 	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
 		Ledger: h.ledger, BodyPace: intake.Pace{Grace: cfg.BodyGrace.D(), BytesPerSecond: cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
-		Limits: h.callerLimits, Connections: h.callerConnections(), Log: h.log,
+		Limits: h.callerLimits, Connections: h.callerConnections(),
+		Log: h.log,
 	}, next)
 	h.registerGauges()
 	return h, nil
--- a/ingresshttp/auxiliary.go
+++ b/ingresshttp/auxiliary.go
@@ -36,7 +36,7 @@
 	limits := ingress.Limits{
 		HeaderBytes: auxiliaryHeaderBytes, BodyBytes: auxiliaryBodyBytes, HeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryIdleTimeout,
 	}
-	d := &deadlines{limits: func() ingress.Limits { return limits }, requestTimeout: auxiliaryTimeout, writeTimeout: auxiliaryTimeout}
+	d := &deadlines{limits: func() ingress.Limits { return limits }, bodyTimeout: auxiliaryTimeout, writeTimeout: auxiliaryTimeout}
 	return &AuxiliaryServer{
 		http: &fasthttp.Server{
 			Handler: getOnly(handle), ErrorHandler: rejectAuxiliary, GetOnly: true,
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -19,10 +19,6 @@
 	// answered on it.
 	phase    phase
 	answered bool
-	// beganAt is when the first byte of the request arrived, and headerTimeout the time that
-	// its header has from then on.
-	beganAt       time.Time
-	headerTimeout time.Duration
 	// active is set while the connection has a request that is being read or answered.
 	active atomic.Bool
 	// memory is the account of the request. evicted is set when the ledger has ended its
--- a/ingresshttp/connections.go
+++ b/ingresshttp/connections.go
@@ -32,10 +32,10 @@
 
 // ReportClosed returns a function for ConnectionOptions.Closed that counts and logs.
 func ReportClosed(counter ClosureCounter, log *slog.Logger) func(cause intake.Cause, address string) {
-	var notices intake.Notices
+	var limiter intake.LogLimiter
 	return func(cause intake.Cause, address string) {
 		counter.ConnectionClosed(string(cause))
-		if omitted, ok := notices.Allow(cause, time.Now()); ok {
+		if omitted, ok := limiter.Allow(string(cause), time.Now()); ok {
 			log.Info("ingress: connection closed", "cause", string(cause), "address", address, "omitted", omitted)
 		}
 	}
--- a/ingresshttp/deadline.go
+++ b/ingresshttp/deadline.go
@@ -26,9 +26,9 @@
 // complete its header, and cannot follow the configuration.
 type deadlines struct {
 	limits func() ingress.Limits
-	// requestTimeout bounds reading a request, header and body together. A header timeout
-	// that is longer applies to both. 0 means that whoever reads the body sets its deadlines.
-	requestTimeout time.Duration
+	// bodyTimeout bounds reading what follows the header, unless the server reads the body
+	// itself.
+	bodyTimeout time.Duration
 	// writeTimeout bounds how long a client may take to accept more bytes of a response.
 	writeTimeout time.Duration
 }
@@ -44,7 +44,7 @@
 // headerReceived makes fasthttp set a read deadline at the end of each header, by which the
 // connection learns of it.
 func (d *deadlines) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{ReadTimeout: d.requestTimeout, MaxRequestBodySize: d.limits().BodyBytes}
+	return fasthttp.RequestConfig{ReadTimeout: d.bodyTimeout, MaxRequestBodySize: d.limits().BodyBytes}
 }
 
 // awaitRequest starts the time that the connection may be idle. Only the goroutine that
@@ -72,22 +72,21 @@
 		return
 	}
 	c.phase = phaseHeader
-	c.headerTimeout = c.server.deadlines.limits().HeaderTimeout
-	c.beganAt = time.Now()
-	_ = c.setReadDeadline(c.beganAt.Add(c.headerTimeout))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.deadlines.limits().HeaderTimeout))
 }
 
-// SetReadDeadline sets the deadline of reads. fasthttp calls it at the end of the header,
-// because headerReceived names a timeout. The first call in a request therefore ends the
-// time for the header, and starts that for the rest of the request.
+// SetReadDeadline sets the deadline of reads, unless the request is evicted and its reads
+// must end. fasthttp calls it at the end of the header, if HeaderReceived names a timeout;
+// the first call in a request therefore ends the time for the header.
 func (c *watchedConn) SetReadDeadline(t time.Time) error {
 	if c.phase == phaseHeader {
 		c.phase = phaseRequest
-		if d := c.server.deadlines; d.requestTimeout > 0 {
-			t = c.beganAt.Add(max(d.requestTimeout, c.headerTimeout))
-		}
 	}
-	return c.setReadDeadline(t)
+	err := c.Conn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		err = c.Conn.SetReadDeadline(past)
+	}
+	return err
 }
 
 // trackPhase follows what fasthttp reports of a connection.
--- a/ingresshttp/deadline_test.go
+++ b/ingresshttp/deadline_test.go
@@ -64,8 +64,6 @@
 	completeRequest = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
 	endlessHeader   = "POST /a HTTP/1.1\r\nHost: h\r\nX-Long: "
 	endlessBody     = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"
-	// bodyTime is the time that a small body has.
-	bodyTime = 21 * time.Second
 )
 
 // A connection that its client leaves open must not hold a descriptor for longer than the
@@ -106,17 +104,18 @@
 		{"a pipelined header that stops", func() ingress.Limits { return testLimits }, func(conn net.Conn) {
 			send(conn, completeRequest+endlessHeader, 0)
 		}, 3 * time.Second},
-		// A body has the grace of the default pace, and the step by which its deadline is extended.
-		{"a body that stops", func() ingress.Limits { return testLimits }, func(conn net.Conn) { send(conn, endlessBody+"ab", 0) }, bodyTime},
+		// A body has 20 s from the end of the header, and 1 s more in which it may show that it
+		// still arrives at the lowest rate.
+		{"a body that stops", func() ingress.Limits { return testLimits }, func(conn net.Conn) { send(conn, endlessBody+"ab", 0) }, (20 + 1) * time.Second},
 		{"a slow body", func() ingress.Limits { return testLimits }, func(conn net.Conn) {
 			send(conn, endlessBody, 50*time.Millisecond)
 			send(conn, strings.Repeat("a", 9000), time.Second)
-		}, time.Duration(len(endlessBody))*50*time.Millisecond + bodyTime},
+		}, time.Duration(len(endlessBody))*50*time.Millisecond + (20+1)*time.Second},
 		{"a slow body after a request", func() ingress.Limits { return testLimits }, func(conn net.Conn) {
 			send(conn, completeRequest, 0)
 			time.Sleep(10 * time.Second)
 			send(conn, endlessBody+"ab", 0)
-		}, 10*time.Second + bodyTime},
+		}, (10 + 20 + 1) * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/ingresshttp/linger.go
+++ b/ingresshttp/linger.go
@@ -33,7 +33,7 @@
 
 // Close closes the connection, after lingering if that was requested.
 func (c *watchedConn) Close() error {
-	defer c.server.table.Remove(c)
+	c.server.table.Remove(c)
 	c.mu.Lock()
 	slots := c.lingering
 	c.mu.Unlock()
--- a/ingresshttp/memory.go
+++ b/ingresshttp/memory.go
@@ -75,16 +75,6 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
-// setReadDeadline sets the deadline of reads, unless the request is evicted and its reads
-// must end.
-func (c *watchedConn) setReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	if c.evicted.Load() {
-		err = c.Conn.SetReadDeadline(past)
-	}
-	return err
-}
-
 // beginWrite sets the deadline of a write and records that it begins.
 func (c *watchedConn) beginWrite() error {
 	if c.memory.ledger != nil {
--- a/ingresshttp/memory_test.go
+++ b/ingresshttp/memory_test.go
@@ -60,7 +60,7 @@
 		is := is.New(t)
 		h := &recordingForwarder{respond: respondWith(200, "ok")}
 		ledger := intake.NewLedger(12 * mebibyte)
-		connect, stop := pipes(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
+		connect, stop := servePipe(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
 		defer stop()
 		var stalled []net.Conn
 		for range 2 {
@@ -102,7 +102,7 @@
 			return respondWith(200, "ok")(ctx)
 		}}
 		ledger := intake.NewLedger(8 * mebibyte)
-		connect, stop := pipes(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
+		connect, stop := servePipe(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
 		defer stop()
 		running := connect()
 		write(running, postBody(4*mebibyte))
@@ -138,7 +138,7 @@
 			return &forward.Response{Status: 200, Streaming: true, Body: io.NopCloser(io.MultiReader(bytes.NewReader(event), bytes.NewReader(event)))}
 		}}
 		ledger := intake.NewLedger(256 << 10)
-		connect, stop := pipes(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
+		connect, stop := servePipe(t, newServerWith(t.Context(), h, func(o *ingresshttp.Options) { o.Ledger = ledger }))
 		defer stop()
 		conn := connect()
 		write(conn, postBody(100<<10))
--- a/ingresshttp/screen.go
+++ b/ingresshttp/screen.go
@@ -24,7 +24,7 @@
 }
 
 // bodyLimit returns the maximum size of a body.
-func (s *Server) bodyLimit() int { return s.conns.deadlines.limits().BodyBytes }
+func (s *Server) bodyLimit() int { return s.opts.Limits().BodyBytes }
 
 // hasBody reports whether a request has a body that is not empty. The length is negative
 // for a chunked body.
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -93,14 +93,15 @@
 	opts.Ledger = cmp.Or(opts.Ledger, intake.NewLedger(defaultRequestMemory))
 	opts.BodyPace = cmp.Or(opts.BodyPace, defaultBodyPace)
 	opts.HeaderBytes = cmp.Or(opts.HeaderBytes, maxHeaderBytes)
+	opts.Limits = limitsOrDefault(opts.Limits)
 	s := &Server{
 		baseCtx: ctx, opts: opts, forwarder: next, lingering: make(chan struct{}, maxLingering),
-		conns: newConnections(opts.Connections, &deadlines{limits: limitsOrDefault(opts.Limits), writeTimeout: writeTimeout}),
+		conns: newConnections(opts.Connections, &deadlines{limits: opts.Limits, writeTimeout: writeTimeout}),
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError, HeaderReceived: s.screenHeader, ExpectHandler: s.decideExpectation,
-		ConnState:      s.trackState,
-		ReadBufferSize: opts.HeaderBytes, MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
+		ConnState: s.trackState, ReadBufferSize: opts.HeaderBytes,
+		MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
 	}
--- a/intake/doc.go
+++ b/intake/doc.go
@@ -1,4 +1,4 @@
-// Package intake bounds what callers that a host does not control may hold on it.
+// Package intake bounds what callers may hold on a host.
 //
 // A [Ledger] bounds the memory of requests. Each request that is being read or served has
 // an [Entry], and bytes are reserved for it before they are read. If a reservation does not
@@ -7,12 +7,11 @@
 // be running. If there is nothing to evict, the requesting entry waits shortly and is then
 // refused.
 //
-// [Pace] decides until when the next bytes of a body must arrive, and [LogLimiter] which
-// refusals are logged.
-//
 // [Connections] bounds the connections of a server and chooses which one to close at the
-// bound. [Notices] bounds the log lines about refusals.
+// bound. [Pace] decides until when the next bytes of a body must arrive, and [LogLimiter]
+// which refusals are logged.
 //
 // The package reads no clock, does no I/O and starts no goroutine. It tells the owner of an
-// entry through [Holder] that the entry is evicted; the owner closes connections.
+// entry through [Holder] that the entry is evicted; whoever uses the other types closes the
+// connections.
 package intake
--- a/intake/notices_test.go
+++ b/intake/loglimit_test.go
@@ -11,10 +11,10 @@
 
 // Callers that are refused at a high rate must not fill the log, nor may the omitted lines
 // go unnoticed.
-func TestNoticesAreBoundedPerCause(t *testing.T) {
+func TestLogLinesAreBoundedPerCause(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	var n intake.Notices
+	var l intake.LogLimiter
 	start := time.Unix(1000, 0)
 	for _, c := range []struct {
 		at      time.Duration
@@ -29,7 +29,7 @@
 		{100 * time.Millisecond, intake.CauseConnections, 2, true},
 		{300 * time.Millisecond, intake.CauseConnections, 0, true},
 	} {
-		omitted, ok := n.Allow(c.cause, start.Add(c.at))
+		omitted, ok := l.Allow(string(c.cause), start.Add(c.at))
 		is.Equal(omitted, c.omitted)
 		is.Equal(ok, c.ok)
 	}
--- a/settings/host.go
+++ b/settings/host.go
@@ -33,6 +33,8 @@
 	// average.
 	BodyGrace          Duration `json:"body_grace"`
 	BodyBytesPerSecond int      `json:"body_bytes_per_second"`
+	// StorePartitionMB is the size in MB up to which a topic of the store holds records.
+	StorePartitionMB int `json:"store_partition_mb"`
 	// MaxDescriptors is the number of descriptors that the process may open, of which 200
 	// are reserved for files. 0 means the limit of the process.
 	MaxDescriptors int `json:"max_descriptors"`
@@ -71,7 +73,8 @@
 // DefaultHost returns the defaults of the fields that a file may omit.
 func DefaultHost() Host {
 	return Host{
-		MemoryMB: 256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
+		StorePartitionMB: 200,
+		MemoryMB:         256, ProcessorShare: 1, LinkMbps: 1000, Revoke: Duration(5 * time.Second), Grace: Duration(8 * time.Second),
 		AddressesValidMax: Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100, RetryWindow: Duration(10 * time.Second),
 		BodyGrace: Duration(20 * time.Second), BodyBytesPerSecond: 16 << 10,
 		Log: Log{Format: "json", Level: "info"},
@@ -129,6 +132,7 @@
 	}
 	c.positive("body_grace", h.BodyGrace)
 	c.count("body_bytes_per_second", h.BodyBytesPerSecond, maxBytes)
+	c.count("store_partition_mb", h.StorePartitionMB, maxCount)
 	if h.MaxDescriptors != 0 && (h.MaxDescriptors < minDescriptors || h.MaxDescriptors > MaxDescriptors) {
 		c.addFault("max_descriptors", fmt.Sprint(h.MaxDescriptors), fmt.Sprintf("0 or %d to %d", minDescriptors, MaxDescriptors))
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -136,7 +136,9 @@
 	// CheckpointEvery is the interval between two checkpoints in the log. It
 	// must be well below the retention time of the log.
 	CheckpointEvery Duration `json:"checkpoint_every"`
-	// Read and Write are the timeouts of a caller's connection.
+	// Read bounds the time from the first byte of a caller's request to the end of its
+	// header. Write has no effect: a caller must accept more bytes of an answer within a
+	// fixed time, however long the answer lasts.
 	Read  Duration `json:"read"`
 	Write Duration `json:"write"`
 	// Drain bounds a graceful shutdown.
