operator, daemon: the operators' API is an auxiliary server

It shares the bounds of the platform dialect's other listeners: GET without a body, headers of up to 8 KiB, timeouts, and connections of which idle ones make room for new ones, up to 256 or a tenth of the descriptors for sockets.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,11 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
-	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -80,6 +78,8 @@
 	// connections.
 	requestMemory  *intake.Ledger
 	maxConnections int
+	// reportClosed counts and logs a connection that the host closes.
+	reportClosed func(cause intake.Cause, address string)
 
 	limits  *ratelimit.Limits
 	limiter *ratelimit.Limiter
@@ -210,13 +210,12 @@
 type servers struct {
 	callers        *ingresshttp.Server
 	callerListener net.Listener
-	operatorApp    *fiber.App
+	// operatorListener accepts the connections of operators.
+	operatorListener net.Listener
 	// failed receives the error with which a server ends.
 	failed chan error
 }
 
-var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
-
 func (d *Daemon) serveCallers(s *servers) error {
 	ln, err := net.Listen("tcp", d.cfg.CallerAddress)
 	if err != nil {
@@ -249,14 +248,17 @@
 }
 
 func (d *Daemon) serveOperators(s *servers) error {
-	s.operatorApp = operator.NewApp(d)
 	ln, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
-	// When no descriptor is left, callers give up idle connections.
-	accepting := accept.NewListener(ln, accept.Options{Exhausted: s.callers.CloseIdle, Log: d.log})
-	go func() { s.failed <- s.operatorApp.Listener(accepting, listenConfig) }()
+	s.operatorListener = ln
+	server := operator.NewServer(d, ingresshttp.ConnectionOptions{
+		ConnectionOptions: intake.ConnectionOptions{Max: maxOperatorConnections()}, Closed: d.reportClosed,
+		// When no descriptor is left, callers give up idle connections.
+		Exhausted: s.callers.CloseIdle,
+	}, d.log)
+	go func() { s.failed <- server.Serve(ln) }()
 	return nil
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -11,8 +12,7 @@
 	// leaveGossipRounds is the number of gossip rounds in which a leave notice
 	// reaches all hosts.
 	leaveGossipRounds = 3
-	// closeTimeout limits how long idle connections may take to close at the
-	// end.
+	// closeTimeout limits how long the last bytes of responses may take at the end.
 	closeTimeout = 2 * time.Second
 )
 
@@ -42,16 +42,13 @@
 	if interrupted == 0 {
 		d.appendFinalBatch(context.Background())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := s.callerListener.Close(); err != nil {
-		d.log.Warn("daemon: listener for callers did not close cleanly", "cause", err.Error())
+	for _, ln := range []net.Listener{s.callerListener, s.operatorListener} {
+		if err := ln.Close(); err != nil {
+			d.log.Warn("daemon: listener did not close cleanly", "address", ln.Addr().String(), "cause", err.Error())
+		}
 	}
 	// The last bytes of responses may still be on their way to the network.
 	d.pollUntil(func() bool { return s.callers.Active() == 0 }, time.Now().Add(closeTimeout))
-	if err := s.operatorApp.ShutdownWithContext(ctx); err != nil {
-		d.log.Warn("daemon: server for operators did not shut down cleanly", "cause", err.Error())
-	}
 	d.log.Info("daemon: drained", "cut", interrupted, "took", time.Since(start).String())
 }
 
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -42,6 +42,11 @@
 	maxCustomers = 6000
 	maxClasses   = 100
 
+	// operatorFraction is the fraction of the descriptors for sockets that the connections of
+	// operators may use, and operatorConnections an upper bound.
+	operatorFraction    = 0.1
+	operatorConnections = 256
+
 	// minRequestMemory is the least memory of requests, in bodies of the largest size: the
 	// last two buffers of such a body, and what is reserved for small requests.
 	minRequestMemory = 3
@@ -130,6 +135,7 @@
 		requestMemory:   intake.NewLedger(max(cfg.Limits.RequestMemoryMB<<20, minRequestMemory*cfg.Limits.BodyBytes)),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
+	d.reportClosed = ingresshttp.ReportClosed(d.meter, log)
 	d.dialer = newDialer(d, do.MustInvoke[DirectDial](i))
 	d.connector = relay.NewConnector(d.dialer, d.isEndpoint)
 	d.limits = ratelimit.NewLimits(d.gossipLimit, log)
@@ -150,10 +156,18 @@
 	return d, nil
 }
 
+// socketLimit returns the number of descriptors that the process may use for sockets.
+func socketLimit() int {
+	return accept.DescriptorLimit(settings.MaxDescriptors) - accept.FileDescriptors
+}
+
 // defaultMaxConnections returns the bound on callers' connections that the descriptors of
 // the process permit. Their memory is bounded by that of requests.
-func defaultMaxConnections() int {
-	return intake.DefaultMaxConnections(accept.DescriptorLimit(settings.MaxDescriptors)-accept.FileDescriptors, math.MaxInt64)
+func defaultMaxConnections() int { return intake.DefaultMaxConnections(socketLimit(), math.MaxInt64) }
+
+// maxOperatorConnections returns the bound on the connections of operators.
+func maxOperatorConnections() int {
+	return max(min(int(operatorFraction*float64(socketLimit())), operatorConnections), 1)
 }
 
 func (d *Daemon) registerGauges() {
@@ -213,7 +227,7 @@
 		MaxBodyBytes: l.BodyBytes, MaxPromptBytes: l.PromptBytes, MaxTokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
 		EntriesValid: t.EntriesValid.D(), FirstTokenWait: firstTokenWait, Ledger: d.requestMemory,
 		HeaderTimeout: t.Read.D(), Connections: ingresshttp.ConnectionOptions{
-			ConnectionOptions: intake.ConnectionOptions{Max: d.maxConnections}, Closed: ingresshttp.ReportClosed(d.meter, d.log),
+			ConnectionOptions: intake.ConnectionOptions{Max: d.maxConnections}, Closed: d.reportClosed,
 		},
 	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), streamGate{d.gate, d}, d.follower, planner{d}, d.meter, d.log), nil
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"bulrushshed/directory"
+	"bulrushshed/ingresshttp"
 	"bulrushshed/keys"
 	"bulrushshed/publication"
 )
@@ -41,25 +43,13 @@
 	WriteMetrics(c fiber.Ctx) error
 }
 
-const (
-	// maxHeaderBytes bounds the header of a request, and maxConns the connections.
-	maxHeaderBytes = 8 << 10
-	maxConns       = 256
-	// maxBodyBytes is the smallest limit of a body that fiber can be given.
-	maxBodyBytes = 1
-	// readTimeout bounds reading a request, and writeTimeout writing a response, which may
-	// have the text of the rules. An idle connection is closed after idleTimeout.
-	readTimeout  = 10 * time.Second
-	writeTimeout = 30 * time.Second
-	idleTimeout  = 30 * time.Second
-)
+// NewServer returns the server of the operator API. It takes GET without a body.
+func NewServer(h Host, o ingresshttp.ConnectionOptions, log *slog.Logger) *ingresshttp.AuxiliaryServer {
+	return ingresshttp.NewAuxiliaryServer(o, log, newApp(h).Handler())
+}
 
-// NewApp returns the HTTP application of the operator API. It takes GET without a body.
-func NewApp(h Host) *fiber.App {
-	app := fiber.New(fiber.Config{
-		Immutable: true, GETOnly: true, BodyLimit: maxBodyBytes, ReadBufferSize: maxHeaderBytes, Concurrency: maxConns, ReduceMemoryUsage: true,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
-	})
+func newApp(h Host) *fiber.App {
+	app := fiber.New(fiber.Config{Immutable: true})
 	app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(h.Status(c.Query("text") == "true")) })
 	app.Get("/v1/explain", func(c fiber.Ctx) error {
 		e, err := h.Explain(Query{Customer: c.Query("customer"), Path: c.Query("path"), Model: c.Query("model")})
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/matryer/is"
 
+	"bulrushshed/ingresshttp"
 	"bulrushshed/operator"
 )
 
@@ -34,11 +36,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	app := operator.NewApp(host{})
+	api := operator.NewServer(host{}, ingresshttp.ConnectionOptions{}, slog.New(slog.DiscardHandler))
 	done := make(chan error, 1)
-	go func() { done <- app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	go func() { done <- api.Serve(ln) }()
 	t.Cleanup(func() {
-		_ = app.Shutdown()
+		_ = ln.Close()
 		<-done
 	})
 	return ln.Addr().String()
