--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -127,6 +128,10 @@
 	}
 }
 
+// gcPercent is the heap growth, in percent, that triggers the next garbage collection. The
+// Go default of 100 lets a host whose request memory is full grow to twice that.
+const gcPercent = 50
+
 // errServerEnded is the error of a server that ends before the shutdown.
 var errServerEnded = errors.New("server ended")
 
@@ -138,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	// workCtx outlives stop: the background loops run until the host has
 	// drained.
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(stop))
