--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,14 +7,13 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
-	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -25,6 +24,8 @@
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
 	"bulrushshed/hostlog"
+	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/loop"
 	"bulrushshed/meter"
 	"bulrushshed/operator"
@@ -74,6 +75,13 @@
 	// deliverer is set by newDeliverer, before Run starts anything.
 	deliverer *delivery.Deliverer
 
+	// requestMemory bounds the memory of callers' requests, and maxConnections their
+	// connections.
+	requestMemory  *intake.Ledger
+	maxConnections int
+	// reportClosed counts and logs a connection that the host closes.
+	reportClosed func(cause intake.Cause, address string)
+
 	limits  *ratelimit.Limits
 	limiter *ratelimit.Limiter
 	// peerNode is set by Run before its first use.
@@ -97,6 +105,8 @@
 	joined atomic.Bool
 	// draining is set once, when a graceful shutdown begins.
 	draining atomic.Bool
+	// closing is set once, when no further requests are accepted.
+	closing atomic.Bool
 	// listETag and listedHosts are the ETag and the hosts of the platform's host
 	// list as last read, at listReadAt. Only the refreshHosts loop uses them.
 	listETag    string
@@ -118,6 +128,10 @@
 	}
 }
 
+// gcPercent is the heap growth, in percent, that triggers the next garbage collection. The
+// Go default of 100 lets a host whose request memory is full grow to twice that.
+const gcPercent = 50
+
 // errServerEnded is the error of a server that ends before the shutdown.
 var errServerEnded = errors.New("server ended")
 
@@ -129,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	// workCtx outlives stop: the background loops run until the host has
 	// drained.
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(stop))
@@ -140,7 +155,9 @@
 	if err := d.listenPeers(); err != nil {
 		return err
 	}
-	servers := &servers{failed: make(chan error, 2)}
+	// At the end of a shutdown, connections are closed after their responses.
+	servers := &servers{callers: d.callerServer.HTTPServer(d.closing.Load), failed: make(chan error, 2)}
+	d.meter.Gauge("bulrushshed_connections", func() float64 { return float64(servers.callers.Connections()) })
 	if err := d.serveOperators(servers); err != nil {
 		return err
 	}
@@ -176,6 +193,7 @@
 func (d *Daemon) listenPeers() error {
 	node, err := peer.NewNode(peer.Options{
 		Address: d.cfg.PeerAddress, DialTimeout: d.cfg.Times.Peer.D(), MaxBytes: maxPeerBytes, Relay: d.connector,
+		Memory: max(int64(d.cfg.Limits.RequestMemoryMB)<<20/peerMemoryShare, minPeerMessages*maxPeerBytes),
 	}, d.tls, d, d.log)
 	d.peerNode = node
 	return err
@@ -185,26 +203,32 @@
 // ones carry a rule file or a request body.
 const maxPeerBytes = 8 << 20
 
+const (
+	// peerMemoryShare is the part of the memory of requests, as its reciprocal, that is
+	// added for the messages from other hosts. Forwarded calls hold most of it.
+	peerMemoryShare = 2
+	// minPeerMessages is the least memory for messages, in those of the largest size, one
+	// of which needs two buffers while it grows.
+	minPeerMessages = 2
+)
+
 // servers holds the HTTP servers of a daemon, for callers and for operators.
 type servers struct {
-	callerApp   *fiber.App
-	operatorApp *fiber.App
+	callers        *ingresshttp.Server
+	callerListener net.Listener
+	// operatorListener accepts the connections of operators.
+	operatorListener net.Listener
 	// failed receives the error with which a server ends.
 	failed chan error
 }
 
-var listenConfig = fiber.ListenConfig{DisableStartupMessage: true}
-
 func (d *Daemon) serveCallers(s *servers) error {
-	s.callerApp = d.callerServer.App()
-	// After the shutdown has begun, responses on keep-alive connections ask the
-	// caller to close the connection.
-	s.callerApp.Server().CloseOnShutdown = true
 	ln, err := net.Listen("tcp", d.cfg.CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	go func() { s.failed <- s.callerApp.Listener(d.keepAccepting(callerListener{ln}), listenConfig) }()
+	s.callerListener = callerListener{ln}
+	go func() { s.failed <- s.callers.Serve(s.callerListener) }()
 	return nil
 }
 
@@ -230,20 +254,20 @@
 }
 
 func (d *Daemon) serveOperators(s *servers) error {
-	s.operatorApp = operator.NewApp(d)
 	ln, err := operator.Listen(d.cfg.OperatorAddress, d.tls, d.cfg.OperatorTLS)
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
-	go func() { s.failed <- s.operatorApp.Listener(d.keepAccepting(ln), listenConfig) }()
+	s.operatorListener = ln
+	server := operator.NewServer(d, ingresshttp.ConnectionOptions{
+		ConnectionOptions: intake.ConnectionOptions{Max: maxOperatorConnections()}, Closed: d.reportClosed,
+		// When no descriptor is left, callers give up idle connections.
+		Exhausted: s.callers.CloseIdle,
+	}, d.log)
+	go func() { s.failed <- server.Serve(ln) }()
 	return nil
 }
 
-// keepAccepting returns a listener that continues after transient errors.
-func (d *Daemon) keepAccepting(ln net.Listener) net.Listener {
-	return accept.NewListener(ln, accept.Options{Log: d.log})
-}
-
 // startLoops starts the background loops. Each returned channel receives the
 // loop's error, or nil, when the loop has ended.
 func (d *Daemon) startLoops(ctx context.Context) []<-chan error {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -11,8 +12,7 @@
 	// leaveGossipRounds is the number of gossip rounds in which a leave notice
 	// reaches all hosts.
 	leaveGossipRounds = 3
-	// closeTimeout limits how long idle connections may take to close at the
-	// end.
+	// closeTimeout limits how long the last bytes of responses may take at the end.
 	closeTimeout = 2 * time.Second
 )
 
@@ -33,6 +33,7 @@
 	d.sleepUntil(leaveKnownAt.Add(d.cfg.Times.EntriesValid.D()), deadline)
 	// From here on, calls with new keys are refused, and the running ones end.
 	d.claims.Close()
+	d.closing.Store(true)
 	d.pollUntil(func() bool { return d.gate.ActiveRequests() == 0 && d.claims.Running() == 0 }, deadline)
 	d.connector.Stop()
 	d.pollUntil(func() bool { return d.connector.Relayed() == 0 }, deadline)
@@ -41,14 +42,13 @@
 	if interrupted == 0 {
 		d.appendFinalBatch(context.Background())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := s.callerApp.ShutdownWithContext(ctx); err != nil {
-		d.log.Warn("daemon: server for callers did not shut down cleanly", "cause", err.Error())
-	}
-	if err := s.operatorApp.ShutdownWithContext(ctx); err != nil {
-		d.log.Warn("daemon: server for operators did not shut down cleanly", "cause", err.Error())
+	for _, ln := range []net.Listener{s.callerListener, s.operatorListener} {
+		if err := ln.Close(); err != nil {
+			d.log.Warn("daemon: listener did not close cleanly", "address", ln.Addr().String(), "cause", err.Error())
+		}
 	}
+	// The last bytes of responses may still be on their way to the network.
+	d.pollUntil(func() bool { return s.callers.Active() == 0 }, time.Now().Add(closeTimeout))
 	d.log.Info("daemon: drained", "cut", interrupted, "took", time.Since(start).String())
 }
 
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -28,6 +28,9 @@
 	// maxPeerMessageBytes bounds one message between hosts, and configReplyOverhead is the
 	// most that the reply with a configuration has beyond it.
 	maxPeerMessageBytes = 16 << 20
+	// maxPeerMemory bounds the memory of the messages from other hosts, which are small;
+	// only answers have a configuration.
+	maxPeerMemory       = 8 << 20
 	configReplyOverhead = 1 << 10
 )
 
@@ -51,7 +54,7 @@
 func newFeedRelay(h *Host, identity peerIdentity) (*feedRelay, error) {
 	r := &feedRelay{host: h, log: feed.NewLog(h.group.memberName, h.freshness.Now)}
 	node, err := peer.NewNode(peer.Options{
-		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, IdleTimeout: peerIdleTimeout,
+		Address: h.cfg.PeerAddress, DialTimeout: peerDialTimeout, MaxBytes: maxPeerMessageBytes, Memory: maxPeerMemory, IdleTimeout: peerIdleTimeout,
 		MaxReplyBytes: int64(maxRecordBytes(h.cfg)) + configReplyOverhead, Relay: h.connector,
 	}, identity.tls, r, h.log)
 	r.node = node
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -94,8 +94,9 @@
 	ledger        *intake.Ledger
 	callerServer  *ingresshttp.Server
 	bounds        connectionBounds
-	refusals      *refusals
-	controller    *controller
+	// reportClosed counts and logs a connection that the host closes.
+	reportClosed func(cause intake.Cause, address string)
+	controller   *controller
 
 	// replicasEra is the era of the store in which the replica list was last read. Only the
 	// loop that follows the list uses it.
--- a/daemon/hosted/serving_test.go
+++ b/daemon/hosted/serving_test.go
@@ -1,7 +1,7 @@
 package hosted_test
 
 import (
-	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,14 +23,13 @@
 		f.hosts = append(f.hosts, f.start(t, i))
 	}
 	h := f.hosts[0]
-	await(t, "directory response with the base size", func() bool { return len(h.addresses(t)) == serving.BaseSize })
-	named := h.addresses(t)
+	var named []string
+	await(t, "the same addresses of the base size from all hosts", func() bool {
+		all := lo.Map(f.hosts, func(e *entryHost, _ int) []string { return e.addresses(t) })
+		named = all[0]
+		return len(named) == serving.BaseSize && lo.EveryBy(all, func(other []string) bool { return slices.Equal(other, named) })
+	})
 	is.Equal(len(lo.Intersect(named, f.callerAddresses())), serving.BaseSize)
-	for _, other := range f.hosts[1:] {
-		await(t, fmt.Sprintf("the same addresses from %s", other.cfg.Name), func() bool {
-			return lo.ElementsMatch(other.addresses(t), named)
-		})
-	}
 	_, stopped, _ := lo.FindIndexOf(f.hosts, func(e *entryHost) bool { return e != h && lo.Contains(named, e.cfg.CallerAddress) })
 	f.hosts[stopped].stop()
 	await(t, "directory response with another host in its place", func() bool {
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/do/v2"
 
+	"bulrushshed/accept"
 	"bulrushshed/forward"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
@@ -57,9 +58,9 @@
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
 		listen:    do.MustInvoke[Listen](i),
-		bounds:    newConnectionBounds(cfg, descriptorLimit()),
+		bounds:    newConnectionBounds(cfg, accept.DescriptorLimit(settings.MaxDescriptors)),
 	}
-	h.refusals = &refusals{meter: h.meter, log: h.log}
+	h.reportClosed = ingresshttp.ReportClosed(h.meter, h.log)
 	h.store = platform.NewStore(platform.StoreOptions{
 		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
 	})
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -1,14 +1,17 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"os"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"bulrushshed/accept"
 	"bulrushshed/admit"
 	"bulrushshed/balance"
 	"bulrushshed/caller"
@@ -18,6 +21,8 @@
 	"bulrushshed/directory"
 	"bulrushshed/enginehttp"
 	"bulrushshed/gossip"
+	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/jsonhttp"
 	"bulrushshed/keys"
 	"bulrushshed/lease"
@@ -37,6 +42,15 @@
 	maxCustomers = 6000
 	maxClasses   = 100
 
+	// operatorFraction is the fraction of the descriptors for sockets that the connections of
+	// operators may use, and operatorConnections an upper bound.
+	operatorFraction    = 0.1
+	operatorConnections = 256
+
+	// minRequestMemory is the least memory of requests, in bodies of the largest size: the
+	// last two buffers of such a body, and what is reserved for small requests.
+	minRequestMemory = 3
+
 	// firstTokenWait is how long a stream waits for its first token before its HTTP
 	// status is sent without it.
 	firstTokenWait = 2 * time.Second
@@ -117,8 +131,11 @@
 		allocator:       admit.NewAllocator(shareTTL),
 		demandEstimator: admit.NewDemandEstimator(),
 		meter:           meter.New(maxCustomers, maxClasses),
+		maxConnections:  cmp.Or(cfg.Limits.Connections, defaultMaxConnections()),
+		requestMemory:   intake.NewLedger(max(cfg.Limits.RequestMemoryMB<<20, minRequestMemory*cfg.Limits.BodyBytes)),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
+	d.reportClosed = ingresshttp.ReportClosed(d.meter, log)
 	d.dialer = newDialer(d, do.MustInvoke[DirectDial](i))
 	d.connector = relay.NewConnector(d.dialer, d.isEndpoint)
 	d.limits = ratelimit.NewLimits(d.gossipLimit, log)
@@ -139,9 +156,27 @@
 	return d, nil
 }
 
+// socketLimit returns the number of descriptors that the process may use for sockets.
+func socketLimit() int {
+	return accept.DescriptorLimit(settings.MaxDescriptors) - accept.FileDescriptors
+}
+
+// defaultMaxConnections returns the bound on callers' connections that the descriptors of
+// the process permit. Their memory is bounded by that of requests.
+func defaultMaxConnections() int { return intake.DefaultMaxConnections(socketLimit(), math.MaxInt64) }
+
+// maxOperatorConnections returns the bound on the connections of operators.
+func maxOperatorConnections() int {
+	return max(min(int(operatorFraction*float64(socketLimit())), operatorConnections), 1)
+}
+
 func (d *Daemon) registerGauges() {
 	d.meter.Gauge("bulrushshed_rule_version", func() float64 { return float64(d.follower.Current().Version) })
 	d.meter.Gauge("bulrushshed_requests", func() float64 { return float64(d.gate.ActiveRequests()) })
+	d.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(d.requestMemory.Stats().Reserved) })
+	d.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(d.requestMemory.Stats().Capacity) })
+	d.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(d.requestMemory.Stats().Evicted) })
+	d.meter.Gauge("bulrushshed_connections_max", func() float64 { return float64(d.maxConnections) })
 	d.meter.Gauge("bulrushshed_claims", func() float64 { return float64(d.claims.Len()) })
 	d.meter.Gauge("bulrushshed_waiting", func() float64 { return float64(d.gate.Waiting()) })
 	d.meter.Gauge("bulrushshed_journal_pending", func() float64 { return float64(d.journal.Pending()) })
@@ -190,6 +225,9 @@
 	ctx := context.Background()
 	return caller.NewServer(ctx, caller.Options{
 		MaxBodyBytes: l.BodyBytes, MaxPromptBytes: l.PromptBytes, MaxTokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
-		EntriesValid: t.EntriesValid.D(), ReadTimeout: t.Read.D(), WriteTimeout: t.Write.D(), FirstTokenWait: firstTokenWait,
+		EntriesValid: t.EntriesValid.D(), FirstTokenWait: firstTokenWait, Ledger: d.requestMemory,
+		HeaderTimeout: t.Read.D(), Connections: ingresshttp.ConnectionOptions{
+			ConnectionOptions: intake.ConnectionOptions{Max: d.maxConnections}, Closed: d.reportClosed,
+		},
 	}, do.MustInvoke[*completion.Runner](i), do.MustInvoke[*delivery.Deliverer](i), streamGate{d.gate, d}, d.follower, planner{d}, d.meter, d.log), nil
 }
--- a/ingresshttp/conn.go
+++ b/ingresshttp/conn.go
@@ -44,7 +44,7 @@
 	if n > 0 {
 		return c.received(n, err)
 	}
-	if c.phase == phaseHeader && errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.phase == phaseHeader && !c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.server.closed(c, intake.CauseHeaderTimeout)
 	}
 	return n, err
--- a/ingresshttp/connections.go
+++ b/ingresshttp/connections.go
@@ -25,6 +25,22 @@
 	Exhausted func()
 }
 
+// ClosureCounter counts connections that are closed for a cause.
+type ClosureCounter interface {
+	ConnectionClosed(cause string)
+}
+
+// ReportClosed returns a function for ConnectionOptions.Closed that counts and logs.
+func ReportClosed(counter ClosureCounter, log *slog.Logger) func(cause intake.Cause, address string) {
+	var limiter intake.LogLimiter
+	return func(cause intake.Cause, address string) {
+		counter.ConnectionClosed(string(cause))
+		if omitted, ok := limiter.Allow(string(cause), time.Now()); ok {
+			log.Info("ingress: connection closed", "cause", string(cause), "address", address, "omitted", omitted)
+		}
+	}
+}
+
 // connections tracks the connections of a server, and closes some at the bound.
 type connections struct {
 	opts      ConnectionOptions
--- a/ingresshttp/connections_test.go
+++ b/ingresshttp/connections_test.go
@@ -71,22 +71,22 @@
 	}, h)
 }
 
-// pipes serves connections over pipes. It runs in a synctest bubble, where settle waits
+// pipeServer serves connections over pipes. It runs in a synctest bubble, where settle waits
 // until the server has nothing left to do.
-type pipes struct {
+type pipeServer struct {
 	t    *testing.T
 	ln   *pipeListener
 	done chan error
 }
 
-func servePipes(t *testing.T, serve func(net.Listener) error, wrap func(net.Listener) net.Listener) *pipes {
-	p := &pipes{t: t, ln: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, done: make(chan error, 1)}
+func servePipes(t *testing.T, serve func(net.Listener) error, wrap func(net.Listener) net.Listener) *pipeServer {
+	p := &pipeServer{t: t, ln: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, done: make(chan error, 1)}
 	go func() { p.done <- serve(wrap(p.ln)) }()
 	return p
 }
 
 // dial opens a connection and sends text. It returns when the server waits for more.
-func (p *pipes) dial(text string) *bufio.ReadWriter {
+func (p *pipeServer) dial(text string) *bufio.ReadWriter {
 	client, server := net.Pipe()
 	p.t.Cleanup(func() { _ = client.Close() })
 	p.ln.conns <- server
@@ -101,7 +101,7 @@
 }
 
 // request opens a connection, sends a request and reads the answer.
-func (p *pipes) request() *bufio.ReadWriter {
+func (p *pipeServer) request() *bufio.ReadWriter {
 	conn := p.dial(completeRequest)
 	is.New(p.t).Equal(readResponse(p.t, conn.Reader).StatusCode, 200)
 	synctest.Wait()
@@ -109,14 +109,14 @@
 }
 
 // stop closes all connections and waits until the server has ended.
-func (p *pipes) stop() {
+func (p *pipeServer) stop() {
 	_ = p.ln.Close()
 	<-p.done
 	time.Sleep(3 * time.Minute) // connections reach their deadlines, and the server's workers end
 }
 
-// isClosed reports whether a connection that has nothing left to read is closed.
-func isClosed(conn *bufio.ReadWriter) bool {
+// isConnClosed reports whether a connection that has nothing left to read is closed.
+func isConnClosed(conn *bufio.ReadWriter) bool {
 	closed := make(chan bool, 1)
 	go func() {
 		_, err := conn.Peek(1)
@@ -155,7 +155,7 @@
 		idle := p.request()
 		for range 3 {
 			next := p.request()
-			is.True(isClosed(idle))
+			is.True(isConnClosed(idle))
 			idle = next
 		}
 		is.Equal(s.Connections(), 3)
@@ -163,8 +163,8 @@
 		faster := p.dial(endlessHeader + strings.Repeat("a", 1000)) // closes idle
 		p.request()                                                 // closes slow
 		is.Equal(causes.count(intake.CauseConnections), 5)
-		is.True(isClosed(slow))
-		is.True(!isClosed(faster))
+		is.True(isConnClosed(slow))
+		is.True(!isConnClosed(faster))
 		close(release)
 		is.Equal(readResponse(t, busy.Reader).StatusCode, 200)
 	})
@@ -209,8 +209,8 @@
 		}
 		time.Sleep(time.Second)
 		is.Equal(exhausted.Load(), int32(2))
-		is.True(isClosed(idle))
-		is.True(!isClosed(reading))
+		is.True(isConnClosed(idle))
+		is.True(!isConnClosed(reading))
 		is.Equal(causes.count(intake.CauseDescriptors), 1)
 		p.request()
 	})
--- a/ingresshttp/memory.go
+++ b/ingresshttp/memory.go
@@ -48,7 +48,7 @@
 	conn.evicted.Store(false)
 	conn.writeEvicted.Store(false)
 	now := time.Now()
-	_, ok := m.await(m.ledger.Open(&m.entry, conn, maxHeaderBytes, now), now)
+	_, ok := m.await(m.ledger.Open(&m.entry, conn, s.opts.HeaderBytes, now), now)
 	m.refused = !ok
 }
 
--- a/ingresshttp/screen.go
+++ b/ingresshttp/screen.go
@@ -51,7 +51,7 @@
 // rejectionOf returns how a request is rejected by its header alone, or nil.
 func (s *Server) rejectionOf(h *fasthttp.RequestHeader) *rejection {
 	switch {
-	case hasAmbiguousLength(h):
+	case hasAmbiguousFraming(h):
 		// The handler rejects it, whatever its length.
 		return nil
 	case h.ContentLength() > s.bodyLimit():
@@ -84,13 +84,17 @@
 // decideExpectation returns the status for a request that waits for 100 Continue.
 func (s *Server) decideExpectation(ctx *fasthttp.RequestCtx) int {
 	h := &ctx.Request.Header
-	if hasAmbiguousLength(h) {
+	if hasAmbiguousFraming(h) {
 		return fasthttp.StatusBadRequest
 	}
 	r := s.takeRejection(h)
 	switch {
 	case r == nil:
 		return fasthttp.StatusContinue
+	case s.writeRefusal != nil:
+		// The answer of the handler's server has more than the status.
+		s.rejections.Store(h, r)
+		return fasthttp.StatusContinue
 	case r.refusal != nil:
 		s.record(r.refusal)
 		return r.refusal.status
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -1,7 +1,6 @@
 package ingresshttp
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -61,6 +60,9 @@
 	// Limits returns the limits of the newest configuration. It may be nil, in which case
 	// the defaults apply.
 	Limits func() ingress.Limits
+	// HeaderBytes is the size of the read buffer of a connection, which bounds the header of
+	// a request; 0 means maxHeaderBytes.
+	HeaderBytes int
 	// Connections bounds the connections.
 	Connections ConnectionOptions
 	Log         *slog.Logger
@@ -71,8 +73,11 @@
 	baseCtx   context.Context
 	opts      Options
 	forwarder Forwarder
-	http      *fasthttp.Server
-	conns     *connections
+	// handler and writeRefusal are set if the server has a handler in place of a forwarder.
+	handler      fasthttp.RequestHandler
+	writeRefusal func(ctx *fasthttp.RequestCtx, r Refusal)
+	http         *fasthttp.Server
+	conns        *connections
 	// active counts the connections with a request that is being read or answered.
 	active     atomic.Int64
 	logLimiter intake.LogLimiter
@@ -87,6 +92,7 @@
 func NewServer(ctx context.Context, opts Options, next Forwarder) *Server {
 	opts.Ledger = cmp.Or(opts.Ledger, intake.NewLedger(defaultRequestMemory))
 	opts.BodyPace = cmp.Or(opts.BodyPace, defaultBodyPace)
+	opts.HeaderBytes = cmp.Or(opts.HeaderBytes, maxHeaderBytes)
 	opts.Limits = limitsOrDefault(opts.Limits)
 	s := &Server{
 		baseCtx: ctx, opts: opts, forwarder: next, lingering: make(chan struct{}, maxLingering),
@@ -94,7 +100,7 @@
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError, HeaderReceived: s.screenHeader, ExpectHandler: s.decideExpectation,
-		ConnState: s.trackState, ReadBufferSize: maxHeaderBytes,
+		ConnState: s.trackState, ReadBufferSize: opts.HeaderBytes,
 		MaxRequestBodySize: prefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: discardLogger{},
@@ -180,12 +186,15 @@
 		ctx.SetConnectionClose()
 		return
 	}
-	if hasAmbiguousLength(&ctx.Request.Header) {
-		s.opts.Log.Info("ingress: malformed request rejected, closing the connection", "cause", "ambiguous_framing", "status", fasthttp.StatusBadRequest)
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if hasAmbiguousFraming(&ctx.Request.Header) {
+		s.refuse(ctx, newRefusal(causeMalformed, errAmbiguousFraming))
 		s.closeAfterAnswer(ctx)
 		return
 	}
+	if s.handler != nil {
+		s.serveHandler(ctx, conn)
+		return
+	}
 	req := s.copyHeader(&ctx.Request.Header)
 	if !s.receiveBody(ctx, conn, req) {
 		return
@@ -261,13 +270,6 @@
 	ctx.Response.SetBodyRaw(body)
 }
 
-// hasAmbiguousLength reports whether a request has both a Transfer-Encoding and a
-// Content-Length header, which could be used for request smuggling.
-func hasAmbiguousLength(h *fasthttp.RequestHeader) bool {
-	raw := bytes.ToLower(h.RawHeaders())
-	return bytes.Contains(raw, []byte("transfer-encoding")) && bytes.Contains(raw, []byte("content-length"))
-}
-
 // isHopByHop reports whether a header field applies to a single connection and must
 // not be forwarded.
 func isHopByHop(name string) bool {
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"bulrushshed/directory"
+	"bulrushshed/ingresshttp"
 	"bulrushshed/keys"
 	"bulrushshed/publication"
 )
@@ -41,8 +43,12 @@
 	WriteMetrics(c fiber.Ctx) error
 }
 
-// NewApp returns the HTTP application of the operator API.
-func NewApp(h Host) *fiber.App {
+// NewServer returns the server of the operator API. It takes GET without a body.
+func NewServer(h Host, o ingresshttp.ConnectionOptions, log *slog.Logger) *ingresshttp.AuxiliaryServer {
+	return ingresshttp.NewAuxiliaryServer(o, log, newApp(h).Handler())
+}
+
+func newApp(h Host) *fiber.App {
 	app := fiber.New(fiber.Config{Immutable: true})
 	app.Get("/v1/status", func(c fiber.Ctx) error { return c.JSON(h.Status(c.Query("text") == "true")) })
 	app.Get("/v1/explain", func(c fiber.Ctx) error {
--- a/peer/node.go
+++ b/peer/node.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"bulrushshed/gossip"
+	"bulrushshed/intake"
 	"bulrushshed/ratelimit"
 	"bulrushshed/retrybudget"
 )
@@ -62,6 +64,9 @@
 	// MaxBytes limits the size of one message, and MaxReplyBytes that of a reply, if it is
 	// more than MaxBytes.
 	MaxBytes, MaxReplyBytes int64
+	// Memory bounds the memory, in bytes, of the messages that are being read or handled.
+	// 0 means memoryPerMessage times MaxBytes.
+	Memory int64
 	// Relay connects to replicas for other hosts; nil refuses that.
 	Relay RelayHandler
 	// IdleTimeout is the idle timeout of a connection, or 0 for 90 s.
@@ -72,6 +77,16 @@
 	alpn               = "bulrushshed/1"
 	defaultIdleTimeout = 90 * time.Second
 	maxStreams         = 4096
+	// connWindow bounds the bytes of all streams of a connection that have arrived and are
+	// not read. It is open from the start, as a smaller one is used up by a few callers
+	// that do not read the streams relayed for them.
+	connWindow = 4 << 20
+	// streamWindow is that of one stream at its start. It grows up to maxRelayWindow for a
+	// relayed connection, which a caller may stop reading, and up to maxMessageWindow for
+	// a message, which is read at once.
+	streamWindow     = 32 << 10
+	maxRelayWindow   = 64 << 10
+	maxMessageWindow = 1 << 20
 	// keepAlive is the interval of the keep-alive packets that detect a failed
 	// peer.
 	keepAlive = 5 * time.Second
@@ -86,13 +101,16 @@
 	handler   Handler
 	log       *slog.Logger
 
+	// memory accounts for the messages from peers.
+	memory *intake.Ledger
+
 	// bytes counts the message bytes sent and received, without transport
 	// overhead.
 	bytes atomic.Int64
 
 	// mu guards conns. It is not held during calls.
 	mu    sync.Mutex
-	conns map[string]*pooledConn
+	conns map[connKey]*pooledConn
 }
 
 // NewNode opens the node's socket. The TLS configuration determines which peers
@@ -112,10 +130,11 @@
 	cfg = cfg.Clone()
 	cfg.NextProtos = []string{alpn}
 	n := &Node{
-		opts: o, tls: cfg, handler: h, log: log, conns: map[string]*pooledConn{},
+		opts: o, tls: cfg, handler: h, log: log, conns: map[connKey]*pooledConn{},
 		transport: &quic.Transport{Conn: socket},
 	}
-	n.listener, err = n.transport.Listen(n.serverTLS(), n.quicConfig())
+	n.memory = intake.NewLedger(int(cmp.Or(o.Memory, memoryPerMessage*o.MaxBytes)))
+	n.listener, err = n.transport.Listen(n.serverTLS(), n.quicConfig(maxRelayWindow))
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrorUnreachable, Cause: err}
 	}
@@ -148,79 +167,17 @@
 	return cfg
 }
 
-func (n *Node) quicConfig() *quic.Config {
+// quicConfig returns the configuration of a connection whose streams have windows of at
+// most maxStreamWindow bytes.
+func (n *Node) quicConfig(maxStreamWindow uint64) *quic.Config {
 	idle := defaultIdleTimeout
 	if n.opts.IdleTimeout > 0 {
 		idle = n.opts.IdleTimeout
 	}
 	return &quic.Config{
 		MaxIdleTimeout: idle, KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
-		InitialStreamReceiveWindow: 32 << 10, InitialConnectionReceiveWindow: 64 << 10,
-	}
-}
-
-// Serve answers peers until ctx ends, and then closes the socket. It sends its
-// result on the returned channel.
-func (n *Node) Serve(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		done <- n.acceptConns(ctx)
-	}()
-	return done
-}
-
-func (n *Node) acceptConns(ctx context.Context) error {
-	var conns sync.WaitGroup
-	defer func() {
-		// Errors no longer matter here; peers are notified by the
-		// CONNECTION_CLOSE frame.
-		_ = n.transport.Close()
-		_ = n.transport.Conn.Close()
-		conns.Wait()
-	}()
-	for {
-		conn, err := n.listener.Accept(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return &Error{Op: "accept", Kind: ErrorUnreachable, Cause: err}
-		}
-		conns.Go(func() { n.serveConn(ctx, conn) })
-	}
-}
-
-func (n *Node) serveConn(ctx context.Context, conn *quic.Conn) {
-	var streams sync.WaitGroup
-	defer streams.Wait()
-	for {
-		s, err := conn.AcceptStream(ctx)
-		if err != nil {
-			return
-		}
-		streams.Go(func() { n.serveStream(ctx, s) })
-	}
-}
-
-func (n *Node) serveStream(ctx context.Context, s *quic.Stream) {
-	// A failure to close is irrelevant if the peer has disconnected.
-	defer func() { _ = s.Close() }()
-	var first [1]byte
-	if _, err := io.ReadFull(s, first[:]); err != nil {
-		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
-		return
-	}
-	if first[0] == relayMark {
-		n.serveRelay(ctx, s)
-		return
-	}
-	var m Message
-	if err := n.read(withFirst(first[0], s), n.opts.MaxBytes, &m); err != nil {
-		n.log.Warn("peer: cannot read message, no reply is sent", "cause", err.Error())
-		return
-	}
-	if err := n.write(s, n.handler.Handle(ctx, m)); err != nil {
-		n.log.Debug("peer: cannot write reply", "cause", err.Error())
+		InitialStreamReceiveWindow: streamWindow, MaxStreamReceiveWindow: maxStreamWindow,
+		InitialConnectionReceiveWindow: connWindow, MaxConnectionReceiveWindow: connWindow,
 	}
 }
 
@@ -244,8 +201,12 @@
 	if err != nil {
 		return err
 	}
+	return n.writeBytes(w, body)
+}
+
+func (n *Node) writeBytes(w io.Writer, body []byte) error {
 	n.bytes.Add(int64(len(body)))
-	_, err = w.Write(body)
+	_, err := w.Write(body)
 	return err
 }
 
@@ -300,13 +261,14 @@
 }
 
 func (n *Node) call(ctx context.Context, address string, m Message, progress func()) (Reply, error) {
-	conn, err := n.conn(ctx, address)
+	key := connKey{address: address}
+	conn, err := n.conn(ctx, key)
 	if err != nil {
 		return Reply{}, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
 	}
 	r, err := n.exchange(ctx, conn, m, progress)
 	if isRejection(err) {
-		n.forget(address, conn)
+		n.forget(key, conn)
 	}
 	return r, err
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -57,7 +56,8 @@
 // Relay opens a connection to a replica through the host at an address. The error is a
 // *relay.Error if the host answered that it cannot connect.
 func (n *Node) Relay(ctx context.Context, host string, r RelayRequest) (net.Conn, error) {
-	conn, err := n.conn(ctx, host)
+	key := connKey{address: host, relays: true}
+	conn, err := n.conn(ctx, key)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: ErrorUnreachable, Cause: err}
 	}
@@ -79,7 +79,7 @@
 	}
 	_ = c.Close()
 	if isRejection(err) {
-		n.forget(host, conn)
+		n.forget(key, conn)
 	}
 	return nil, err
 }
@@ -238,8 +238,3 @@
 	n.bytes.Add(copied)
 	return copied, err
 }
-
-// withFirst returns a reader of a byte that was read already and what follows it.
-func withFirst(first byte, r io.Reader) io.Reader {
-	return io.MultiReader(bytes.NewReader([]byte{first}), r)
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,12 @@
 	Attempts int `json:"attempts"`
 	// KeysPerFetch bounds the idempotency keys that a caller may request at once.
 	KeysPerFetch int `json:"keys_per_fetch"`
+	// RequestMemoryMB bounds the memory, in MiB, of the requests that are being read or
+	// served.
+	RequestMemoryMB int `json:"request_memory_mb"`
+	// Connections bounds the connections of callers; 0 means 0.7 of the descriptors that
+	// the process may use for sockets.
+	Connections int `json:"connections"`
 }
 
 // Times holds timeouts, lifetimes and intervals.
@@ -130,7 +136,9 @@
 	// CheckpointEvery is the interval between two checkpoints in the log. It
 	// must be well below the retention time of the log.
 	CheckpointEvery Duration `json:"checkpoint_every"`
-	// Read and Write are the timeouts of a caller's connection.
+	// Read bounds the time from the first byte of a caller's request to the end of its
+	// header. Write has no effect: a caller must accept more bytes of an answer within a
+	// fixed time, however long the answer lasts.
 	Read  Duration `json:"read"`
 	Write Duration `json:"write"`
 	// Drain bounds a graceful shutdown.
@@ -145,6 +153,7 @@
 		Limits: Limits{
 			BodyBytes: 1 << 20, PromptBytes: 256 << 10, Tokens: 4096, Streams: 4000, Calls: 4000,
 			Keys: 200_000, KeptAnswerBytes: 16 << 10, Attempts: 6, KeysPerFetch: 100,
+			RequestMemoryMB: 64,
 		},
 		Times: Times{
 			EntriesValid: seconds(5), KeyTTL: seconds(600),
