--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -10,6 +10,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/peer"
 	"bulrushshed/platform"
+	"bulrushshed/settings"
 )
 
 const (
@@ -20,12 +21,32 @@
 	// catchUpInterval is the interval at which a host that other hosts are ahead of asks
 	// them for their configuration. A version usually arrives from the store before that.
 	catchUpInterval = 500 * time.Millisecond
-	// catchUpTimeout bounds one request for the configuration of another host.
-	catchUpTimeout = 800 * time.Millisecond
+	// catchUpGap bounds the time in which no byte of the configuration of another host
+	// arrives, and catchUpTimeout that of the whole request. In the latter, 50 MB arrive
+	// at 14 Mbit/s.
+	catchUpGap     = 800 * time.Millisecond
+	catchUpTimeout = 30 * time.Second
 	// catchUpHosts is the number of hosts that are asked in one interval.
 	catchUpHosts = 3
+	// maxRecordFraction is the fraction of settings.Host.MemoryMB up to which a record of
+	// the store is held, such as a configuration. One of 12 MB with 60,000 routes takes
+	// 2.5 times its size, decoding it allocates 3.7 times its size more, and the old one
+	// is held until it is replaced.
+	maxRecordFraction = 0.1
+	// minRecordBytes is the least bound of a record. Its answer in base64 has 16 MiB.
+	minRecordBytes = 12 << 20
+	// largeConfigFraction is the fraction of the bound from which on a configuration is
+	// logged as large.
+	largeConfigFraction = 0.5
 )
 
+// maxRecordBytes returns the size up to which this host holds a record of the store.
+func maxRecordBytes(cfg settings.Host) int {
+	const bytesPerMB = 1 << 20
+	held := max(int(maxRecordFraction*float64(cfg.MemoryMB)*bytesPerMB), minRecordBytes)
+	return min(held, cfg.StorePartitionMB*bytesPerMB)
+}
+
 // appliedConfig is the newest configuration that this host has applied, as the operator
 // wrote it. It is never replaced by an older one: a store that is restored from a backup
 // may list an older one until the operator has written the newest again.
@@ -46,6 +67,7 @@
 
 // applyConfig applies the configurations of a page.
 func (h *Host) applyConfig(p feed.Page, from origin) {
+	h.trackSkippedConfig(p)
 	for _, c := range p.Changes {
 		if c.Key != platform.KeyConfig || len(c.Value) == 0 {
 			continue
@@ -63,6 +85,23 @@
 	}
 }
 
+// trackSkippedConfig records whether the newest configuration is one that this host cannot
+// hold. Its keys are not known then, so those of the last one are not confirmed any more.
+func (h *Host) trackSkippedConfig(p feed.Page) {
+	newest := int64(-1)
+	for _, c := range p.Changes {
+		if c.Key == platform.KeyConfig && c.Offset > newest {
+			newest = c.Offset
+			h.configSkipped.Store(false)
+		}
+	}
+	for _, s := range p.Skipped {
+		if s.Key == platform.KeyConfig && s.Offset > newest {
+			h.configSkipped.Store(true)
+		}
+	}
+}
+
 // isNewlyWritten reports whether the operator has written a version since the store was
 // last restored. Whatever the restore has lost is republished by then.
 func (h *Host) isNewlyWritten(version int64, at feed.Position, snapshot bool) bool {
@@ -81,6 +120,9 @@
 	if old := h.applied.Load(); old != nil && applied.version <= old.version {
 		return
 	}
+	if limit := maxRecordBytes(h.cfg); float64(len(applied.text)) > largeConfigFraction*float64(limit) {
+		h.log.Warn("config: configuration is large", "version", applied.version, "bytes", len(applied.text), "limit", limit)
+	}
 	h.applied.Store(&applied)
 	h.table.Store(ingress.NewTable(cfg))
 	h.findings.publishConfig(applied.version)
@@ -106,7 +148,7 @@
 // confirmConfig records that all configurations up to a time are applied. Right after a
 // restore the store cannot tell that: it may lack versions that were acknowledged.
 func (h *Host) confirmConfig(at time.Duration) {
-	if h.era.settled() {
+	if h.era.settled() && !h.configSkipped.Load() {
 		h.freshness.Confirm(at)
 	}
 }
@@ -136,7 +178,7 @@
 	addresses, _ := h.findings.partners(time.Now())
 	for _, address := range addresses[:min(len(addresses), catchUpHosts)] {
 		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-		reply, err := h.feed.node.Call(ctx, address, peer.Message{Kind: peer.KindConfig})
+		reply, err := h.feed.node.CallPaced(ctx, address, peer.Message{Kind: peer.KindConfig, MaxBytes: maxRecordBytes(h.cfg)}, catchUpGap)
 		cancel()
 		switch {
 		case err != nil:
@@ -160,9 +202,10 @@
 	h.replaceConfig(appliedConfig{version: cfg.Version, text: text}, cfg)
 }
 
-// configReply returns the configuration that this host has applied, for another host.
-func (h *Host) configReply() peer.Reply {
-	if applied := h.applied.Load(); applied != nil {
+// configReply returns the configuration that this host has applied, for another host that
+// can hold maxBytes. Hosts of older versions name no size.
+func (h *Host) configReply(maxBytes int) peer.Reply {
+	if applied := h.applied.Load(); applied != nil && (maxBytes == 0 || len(applied.text) <= maxBytes) {
 		return peer.Reply{Config: applied.text}
 	}
 	return peer.Reply{}
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -15,6 +15,7 @@
 
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/loop"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
@@ -85,12 +86,15 @@
 	dialer        *relay.Dialer
 	connector     *relay.Connector
 	meter         *meter.Meter
+	ledger        *intake.Ledger
 	callerServer  *ingresshttp.Server
 	controller    *controller
 
 	// replicasEra is the era of the store in which the replica list was last read. Only the
 	// loop that follows the list uses it.
 	replicasEra int64
+	// configSkipped is set while the newest configuration is too large for this host.
+	configSkipped atomic.Bool
 	// configMu is held while a configuration replaces another one.
 	configMu sync.Mutex
 	// replicasKnown is set once the replica list has been read.
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -13,6 +13,7 @@
 	"bulrushshed/forward"
 	"bulrushshed/ingress"
 	"bulrushshed/ingresshttp"
+	"bulrushshed/intake"
 	"bulrushshed/keys"
 	"bulrushshed/meter"
 	"bulrushshed/pipeline"
@@ -50,7 +51,9 @@
 		picker:    replica.NewPicker(cfg.FailureDomain),
 		meter:     meter.New(maxCustomers, maxClasses),
 	}
-	h.store = platform.NewStore(cfg.StoreAddress, storeTimeout, h.observeEra)
+	h.store = platform.NewStore(platform.StoreOptions{
+		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
+	})
 	identity, err := newPeerIdentity(cfg.Name, h)
 	if err != nil {
 		return nil, err
@@ -71,9 +74,7 @@
 	h.limits = ratelimit.NewLimits(h.publishItem, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
-	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
-		DecodeHeader: platform.DecodeRequest, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load, Log: h.log,
-	}, stoppingForwarder{h, forward.New(forward.Dependencies{
+	next := stoppingForwarder{h, forward.New(forward.Dependencies{
 		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
 		Limiter:    h.limiter,
 		Links:      h.dialer,
@@ -83,7 +84,13 @@
 			StartedAt: time.Now(),
 		}),
 		Counter: h.meter, Log: h.log,
-	})})
+	})}
+	h.ledger = intake.NewLedger(cfg.RequestMemoryBytes())
+	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
+		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
+		Ledger: h.ledger, BodyPace: intake.Pace{Grace: cfg.BodyGrace.D(), BytesPerSecond: cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
+		Log: h.log,
+	}, next)
 	h.registerGauges()
 	return h, nil
 }
@@ -139,6 +146,9 @@
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
 	h.meter.Gauge("bulrushshed_serving_hosts", func() float64 { return float64(len(h.serving.all())) })
+	h.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(h.ledger.Stats().Reserved) })
+	h.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(h.ledger.Stats().Capacity) })
+	h.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(h.ledger.Stats().Evicted) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
