usage, pipeline: plan with what other hosts report to use of the engines

A host assumed that each other host of its failure domain uses as much of an engine as it does itself.

The planner takes own cells plus that sum, also for the estimate of remote domains, and avoids engines that others found down or full. If there is no other path, an engine that only others found down is tried. Without recent reports it estimates as before.

go test -count=3 and -race of ./usage ./pipeline passed.

--- a/pipeline/doc.go
+++ b/pipeline/doc.go
@@ -9,8 +9,9 @@
 // [PathRequest] through the engines of a view, and [Planner.Reroute] returns
 // another one for a running stream. The cost depends on the speed of the engines
 // and on their load. The capacity of an engine is its KV cache: a Planner counts
-// what the streams of this host use of it, and assumes that the other hosts of the
-// failure domain use as much, unless the engine reported its utilization recently.
+// what the streams of this host use of it, and adds what the other hosts of the failure
+// domain report to use ([OtherHosts]), or assumes that they use as much, unless the engine
+// reported its utilization recently.
 // A [ProgressTracker] locates the engines that stall a stream.
 //
 // Package route searches the graphs of engines. It is up to the caller to send and
--- a/pipeline/graphs.go
+++ b/pipeline/graphs.go
@@ -8,6 +8,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/replica"
 	"bulrushshed/route"
+	"bulrushshed/usage"
 )
 
 // serviceGraphs are the layer graphs of one service, built from one view of the
@@ -24,6 +25,8 @@
 	// has the addresses of the engines in the host's failure domain.
 	capacity map[string]float64
 	local    []string
+	// ids has the IDs of the engines in the reports of hosts, by address.
+	ids map[string]usage.EngineID
 	// layerTime is the time that each engine takes for one token in one layer, by address.
 	layerTime map[string]time.Duration
 	// domains has the failure domain of each engine, by address.
@@ -50,7 +53,7 @@
 }
 
 func newServiceGraphs(v *replica.View, req PathRequest, domain string) *serviceGraphs {
-	graphs := &serviceGraphs{revision: v.Revision, model: req.Model, capacity: map[string]float64{}, layerTime: map[string]time.Duration{}, domains: map[string]string{}}
+	graphs := &serviceGraphs{revision: v.Revision, model: req.Model, capacity: map[string]float64{}, ids: map[string]usage.EngineID{}, layerTime: map[string]time.Duration{}, domains: map[string]string{}}
 	type domainVersion struct{ domain, version string }
 	var keys []domainVersion
 	byKey := map[domainVersion][]route.Holding{}
@@ -63,6 +66,7 @@
 		h := holding(r, req.Service, req.Model.LayerTime(acc))
 		graphs.domains[r.Address] = r.FailureDomain
 		graphs.layerTime[r.Address] = h.LayerTime
+		graphs.ids[r.Address] = usage.NewEngineID(r.Address, r.Incarnation())
 		graphs.capacity[r.Address] = req.Model.KVCells(acc, r.Layers.Len())
 		if r.FailureDomain == domain {
 			graphs.local = append(graphs.local, r.Address)
--- a/pipeline/health.go
+++ b/pipeline/health.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "time"
+import (
+	"time"
+
+	"bulrushshed/usage"
+)
 
 // suspicion is the period during which an engine is excluded from new paths.
 type suspicion struct {
@@ -21,15 +25,15 @@
 // share that a stream of the given length adds for each layer.
 //
 // If the engine's report is recent, the first is the reported share, and the second
-// is counted for each host of this failure domain. Otherwise the first assumes that
-// each of these hosts uses as much of the engine as this one, and the second is
-// that of this stream alone.
-func (p *Planner) utilization(address string, capacity, tokens, localHosts float64, now time.Time) (used, perLayer float64) {
-	capacity = max(capacity, 1)
+// is counted for each host of this failure domain. Otherwise the first is that of all
+// hosts of this failure domain, as localCells estimates it, and the second is that of
+// this stream alone.
+func (p *Planner) utilization(graphs *serviceGraphs, address string, tokens float64, others *usage.Load, now time.Time) (used, perLayer float64) {
+	capacity := max(graphs.capacity[address], 1)
 	if r, ok := p.reports[address]; ok && now.Sub(r.at) <= utilizationTTL {
-		return r.utilization, localHosts * tokens / capacity
+		return r.utilization, float64(max(p.opts.LocalHosts(), 1)) * tokens / capacity
 	}
-	return localHosts * p.cells[address] / capacity, tokens / capacity
+	return p.localCells(graphs, address, others) / capacity, tokens / capacity
 }
 
 // maxAssumedUtilization bounds the KV cache utilization that is assumed for other
@@ -39,13 +43,13 @@
 
 // localUtilization returns the KV cache utilization of this failure domain. Hosts
 // of other domains are assumed to use theirs as much, up to maxAssumedUtilization.
-func (p *Planner) localUtilization(graphs *serviceGraphs, localHosts float64) float64 {
+func (p *Planner) localUtilization(graphs *serviceGraphs, others *usage.Load) float64 {
 	cells, capacity := 0.0, 1.0
 	for _, address := range graphs.local {
-		cells += p.cells[address]
+		cells += p.localCells(graphs, address, others)
 		capacity += graphs.capacity[address]
 	}
-	return min(localHosts*cells/capacity, maxAssumedUtilization)
+	return min(cells/capacity, maxAssumedUtilization)
 }
 
 // slownessFactor returns the factor by which an engine's report raises the cost of
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -7,6 +7,7 @@
 	"bulrushshed/ingress"
 	"bulrushshed/replica"
 	"bulrushshed/route"
+	"bulrushshed/usage"
 )
 
 const (
@@ -35,6 +36,10 @@
 	// LocalHosts returns the number of hosts in this failure domain, which use its
 	// engines before other hosts do.
 	LocalHosts func() int
+	// Others has what the other hosts of this failure domain report, or is nil. Changed is
+	// called when a stream begins or ends, if it is not nil; it must not block.
+	Others  OtherHosts
+	Changed func()
 }
 
 // Planner selects paths by cost and tracks the load that this host puts on each
@@ -48,6 +53,10 @@
 	cells map[string]float64
 	// streams is the number of streams of this host on each engine.
 	streams map[string]int
+	// starts is the number of streams of this host that begin at each engine.
+	starts map[string]int
+	// recent has the cells that streams of this host have begun to use just now.
+	recent recentCells
 	// suspects are the engines that are excluded from new paths for a time.
 	suspects map[string]suspicion
 	// reports are the latest reports by engine.
@@ -64,7 +73,7 @@
 // NewPlanner returns a planner without streams.
 func NewPlanner(opts Options) *Planner {
 	return &Planner{
-		opts: opts, cells: map[string]float64{}, streams: map[string]int{},
+		opts: opts, cells: map[string]float64{}, streams: map[string]int{}, starts: map[string]int{},
 		suspects: map[string]suspicion{}, reports: map[string]report{}, broken: map[string]brokenRate{}, graphs: map[string]*serviceGraphs{},
 		backlog: newPrefillBacklog(),
 	}
@@ -82,6 +91,8 @@
 	// not start at those in NotFirst.
 	FirstHops map[string]bool
 	NotFirst  map[string]bool
+	// tryReported is set to use engines that other hosts found down.
+	tryReported bool
 }
 
 // Path returns the cheapest route for a stream and counts the stream on its
@@ -94,10 +105,11 @@
 		return route.Route{}, nil, err
 	}
 	p.occupyLinks(graphs, req, r, route.Route{}, now)
-	return r, p.reserve(r, req.Tokens), nil
+	return r, p.reserve(r, req.Tokens, now), nil
 }
 
-// find returns the cheapest route for a stream.
+// find returns the cheapest route for a stream. If there is none, engines that only other
+// hosts found down are tried; those hosts may have lost their links to them.
 func (p *Planner) find(graphs *serviceGraphs, req PathRequest, now time.Time) (r route.Route, err error) {
 	p.expire(now)
 	for _, limit := range []float64{softUtilizationLimit, hardUtilizationLimit} {
@@ -105,7 +117,11 @@
 			return r, nil
 		}
 	}
-	return route.Route{}, err
+	if others := p.otherLoad(now); others == nil || !others.AnyAvoided() {
+		return route.Route{}, err
+	}
+	req.tryReported = true
+	return p.cheapest(graphs, req, hardUtilizationLimit, now)
 }
 
 // HasPath reports whether a path exists for a stream.
@@ -183,21 +199,25 @@
 // query returns the query of a graph for a stream that keeps the utilization of
 // every KV cache below limit.
 func (p *Planner) query(graphs *serviceGraphs, req PathRequest, limit float64, now time.Time) route.Query {
-	localHosts := float64(max(p.opts.LocalHosts(), 1))
-	remoteUtilization := sync.OnceValue(func() float64 { return p.localUtilization(graphs, localHosts) })
+	others := p.otherLoad(now)
+	remoteUtilization := sync.OnceValue(func() float64 { return p.localUtilization(graphs, others) })
 	q := route.Query{
 		CrossDomainCost: float64(crossDomainCost(req.Model, req.Tokens)),
 		CostModel: func(h *route.Holding) (route.CostModel, bool) {
 			if _, suspect := p.suspects[h.Address]; suspect || req.Avoid[h.Address] {
 				return route.CostModel{}, false
 			}
+			id := graphs.ids[h.Address]
+			if isReported(others, id, usage.Full, now) || !req.tryReported && isReported(others, id, usage.Down, now) {
+				return route.CostModel{}, false
+			}
 			if limit < hardUtilizationLimit && p.isOutlier(h.Address, now) {
 				return route.CostModel{}, false
 			}
 			cost := route.CostModel{
 				PerLayer: float64(h.LayerTime) * p.slownessFactor(h.Address), PerHop: float64(hopCost) + p.brokenPenalty(h.Address, now), MaxUtilization: limit, Congestion: congestionWeight,
 			}
-			cost.Utilization, cost.UtilizationPerLayer = p.utilization(h.Address, graphs.capacity[h.Address], float64(req.Tokens), localHosts, now)
+			cost.Utilization, cost.UtilizationPerLayer = p.utilization(graphs, h.Address, float64(req.Tokens), others, now)
 			if h.FailureDomain != p.opts.FailureDomain {
 				cost.Utilization += remoteUtilization()
 			}
@@ -228,6 +248,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	graphs := p.graphsFor(v, req)
+	others := p.otherLoad(now)
 	q := p.query(graphs, req, hardUtilizationLimit, now)
 	holders, full, free := make([]int, req.Model.Layers), make([]int, req.Model.Layers), make([]bool, req.Model.Layers)
 	for _, g := range graphs.byVersion {
@@ -236,7 +257,7 @@
 			_, fits := cost.Cost(route.Range{From: h.Layers.From, To: h.Layers.From + 1})
 			for l := h.Layers.From; l < h.Layers.To; l++ {
 				holders[l]++
-				if usable && !fits || p.suspects[h.Address].busy {
+				if usable && !fits || p.suspects[h.Address].busy || isReported(others, graphs.ids[h.Address], usage.Full, now) {
 					full[l]++
 				}
 				free[l] = free[l] || usable && fits && (l > 0 || q.CanStart == nil || q.CanStart(&h))
@@ -252,8 +273,13 @@
 }
 
 // reserve counts a stream on the engines of its path until release is called.
-func (p *Planner) reserve(r route.Route, tokens int) (release func()) {
+func (p *Planner) reserve(r route.Route, tokens int, now time.Time) (release func()) {
 	p.addLoad(r, float64(tokens), 1)
+	if p.opts.Others != nil {
+		for _, h := range r.Hops {
+			p.recent.add(h.Address, float64(tokens*h.Layers.Len()), now)
+		}
+	}
 	var once sync.Once
 	return func() {
 		once.Do(func() {
@@ -265,6 +291,13 @@
 }
 
 func (p *Planner) addLoad(r route.Route, tokens float64, streams int) {
+	first := r.Hops[0].Address
+	if p.starts[first] += streams; p.starts[first] <= 0 {
+		delete(p.starts, first)
+	}
+	if p.opts.Changed != nil {
+		p.opts.Changed()
+	}
 	for _, h := range r.Hops {
 		p.cells[h.Address] += tokens * float64(h.Layers.Len())
 		p.streams[h.Address] += streams
--- a/pipeline/reroute.go
+++ b/pipeline/reroute.go
@@ -17,12 +17,21 @@
 	defer p.mu.Unlock()
 	graphs := p.graphsFor(v, req)
 	p.expire(now)
+	r, release, err = p.reroute(v, graphs, req, old, now)
+	if others := p.otherLoad(now); err != nil && others != nil && others.AnyAvoided() {
+		req.tryReported = true
+		return p.reroute(v, graphs, req, old, now)
+	}
+	return r, release, err
+}
+
+func (p *Planner) reroute(v *replica.View, graphs *serviceGraphs, req PathRequest, old route.Route, now time.Time) (r route.Route, release func(), err error) {
 	q := p.preferOldHops(p.query(graphs, req, hardUtilizationLimit, now), old, now)
 	for _, d := range graphs.byDomain {
 		if d.domain == startDomain(v, old) {
 			if r, _, err = d.graph.Cheapest(q); err == nil {
 				p.addBacklog(graphs, r, old, req.Tokens, now)
-				return r, p.reserve(r, req.Tokens), nil
+				return r, p.reserve(r, req.Tokens, now), nil
 			}
 		}
 	}
@@ -34,7 +43,7 @@
 		if r, _, err = g.Cheapest(q); err == nil {
 			p.occupyLinks(graphs, req, r, old, now)
 			p.addBacklog(graphs, r, old, req.Tokens, now)
-			return r, p.reserve(r, req.Tokens), nil
+			return r, p.reserve(r, req.Tokens, now), nil
 		}
 	}
 	return route.Route{}, nil, err
