forward, hosted, peer: hosts exchange reports of the engines they use

Each host found out alone that an engine is down or full, up to 3 s after the first one, and did not know what the others use of it.

The hosts that serve a failure domain, and those with streams, now send each other the reports of package usage over peer (kind usage). The forwarder tells of engines that failed a check (after 20 ms, unless this host is isolated by then), refused a stream with 503, or answer again. A finding that an engine is down is ignored where own streams get events through it. A stopping host sends a last empty report. A host that did not answer gets the next report after 1 s, one of an older build after 30 s. If the bound of 3 KB/s is reached, a report has the largest changes.

go test and go test -race of ./usage ./pipeline ./forward ./peer ./daemon/hosted passed.

--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -66,6 +66,9 @@
 	case m.Kind == peer.KindPermit && m.Permit != nil:
 		permit := r.host.limiter.Answer(*m.Permit, time.Now())
 		return peer.Reply{Permit: &permit}
+	case m.Kind == peer.KindUsage && len(m.Usage) > 0:
+		r.host.usage.receive(m.Usage)
+		return peer.Reply{Usage: true}
 	case m.Kind == peer.KindConfig:
 		return r.host.configReply(m.MaxBytes)
 	case m.Kind == peer.KindFeed && m.Feed != nil:
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -82,6 +82,7 @@
 	limiter       *ratelimit.Limiter
 	group         *group
 	serving       *servingHosts
+	usage         *usageExchange
 	feed          *feedRelay
 	dialer        *relay.Dialer
 	connector     *relay.Connector
@@ -140,6 +141,7 @@
 		h.follow(loopCtx, h.replicaSubscription()),
 		h.group.run(loopCtx),
 		h.findings.run(loopCtx),
+		h.usage.run(loopCtx),
 		loop.Every(loopCtx, storeDelay, h.findings.store.write),
 		loop.Every(loopCtx, catchUpInterval, h.catchUpConfig),
 		loop.Every(loopCtx, controlInterval, h.controller.placeAll),
@@ -153,6 +155,7 @@
 		return eris.Wrap(err, "serve")
 	}
 	h.drain()
+	h.usage.sendLast()
 	cancel()
 	h.awaitLoops(loops)
 	h.log.Info("host: stopped")
--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -53,6 +53,20 @@
 	// retryAfter is the Retry-After of the 503 with which the replica refuses requests, or
 	// "" if it takes them.
 	retryAfter string
+	// hung lets the engine answer nothing, also on streams that have begun. streams counts
+	// the streams that it received.
+	hung    bool
+	streams int
+}
+
+// awaitHang blocks until the request ends if the engine hangs.
+func (r *replicaStandIn) awaitHang(req *http.Request) {
+	r.mu.Lock()
+	hung := r.hung
+	r.mu.Unlock()
+	if hung {
+		<-req.Context().Done()
+	}
 }
 
 // engineRestartTime is how long an engine is down after a crash.
@@ -153,6 +167,7 @@
 	case req.URL.Path == "/api/order":
 		r.order(w, req)
 	case req.URL.Path == "/api/report":
+		r.awaitHang(req)
 		_, _ = fmt.Fprintf(w, `{"sequence":%d,"pace":1,"kv_total":100}`, len(r.receivedOrders()))
 	case req.Header.Get("X-Bulrushshed-Hop-Count") != "":
 		r.stream(w, req)
@@ -246,8 +261,10 @@
 }
 
 func (r *replicaStandIn) stream(w http.ResponseWriter, req *http.Request) {
+	r.set(func(r *replicaStandIn) { r.streams++ })
 	r.writeSignatureHeaders(w, req)
 	for id := 1; id <= 20; id++ {
+		r.awaitHang(req)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: t\n\n", id)
 		if f, ok := w.(http.Flusher); ok {
 			f.Flush()
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -65,7 +65,10 @@
 	if h.feed, err = newFeedRelay(h, identity); err != nil {
 		return nil, err
 	}
-	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.serving.localSize})
+	h.usage = newUsageExchange(h)
+	h.planner = pipeline.NewPlanner(pipeline.Options{
+		FailureDomain: cfg.FailureDomain, LocalHosts: h.serving.localSize, Others: h.usage.table, Changed: h.usage.signal,
+	})
 	h.controller = newController(h)
 	h.findings = newFindings(h)
 	h.quarantine = quarantine.New(quarantine.Options{
@@ -75,8 +78,9 @@
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
 	next := stoppingForwarder{h, forward.New(forward.Dependencies{
-		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
+		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: h.usage.progress, Upstream: h.replicaClient,
 		Limiter:    h.limiter,
+		Findings:   h.usage,
 		Links:      h.dialer,
 		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
 		Budget: forward.NewBudget(forward.BudgetOptions{
@@ -146,6 +150,7 @@
 	})
 	h.meter.Gauge("bulrushshed_requests", func() float64 { return float64(h.callerServer.Active()) })
 	h.meter.Gauge("bulrushshed_serving_hosts", func() float64 { return float64(len(h.serving.all())) })
+	h.meter.Gauge("bulrushshed_usage_hosts", func() float64 { return float64(len(h.usage.table.RecentHosts(time.Now()))) })
 	h.meter.Gauge("bulrushshed_request_memory_bytes", func() float64 { return float64(h.ledger.Stats().Reserved) })
 	h.meter.Gauge("bulrushshed_request_memory_capacity_bytes", func() float64 { return float64(h.ledger.Stats().Capacity) })
 	h.meter.Gauge("bulrushshed_requests_evicted", func() float64 { return float64(h.ledger.Stats().Evicted) })
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 	"bulrushshed/quarantine"
 	"bulrushshed/replica"
 	"bulrushshed/route"
+	"bulrushshed/usage"
 )
 
 // attempt is one execution of a stream on one path. Its own goroutine sends the
@@ -136,7 +137,9 @@
 		return "failed_by_replica"
 	}
 	a.answered = true
-	s.f.Planner.RecordAnswer(a.first.Address, false, time.Now())
+	now := time.Now()
+	s.f.Planner.RecordAnswer(a.first.Address, false, now)
+	s.f.find(usage.NewEngineID(a.first.Address, a.first.Incarnation()), usage.Back, time.Time{}, now)
 	if s.head == nil {
 		s.head = u.answer
 	}
@@ -157,9 +160,13 @@
 	if address == "" {
 		address = first.Address
 	}
-	until := time.Now().Add(refusedExclusion)
+	now := time.Now()
+	until := now.Add(refusedExclusion)
 	s.refusedUntil[first.Address] = until
 	s.f.Planner.SuspectBusy(address, until)
+	if a.Status == http.StatusServiceUnavailable {
+		s.f.findFull(address, s.attempt.path, until, now)
+	}
 }
 
 // suspectFailed excludes an engine that could not be reached from new paths for
--- a/forward/checker.go
+++ b/forward/checker.go
@@ -8,6 +8,7 @@
 
 	"bulrushshed/ratelimit"
 	"bulrushshed/replica"
+	"bulrushshed/usage"
 )
 
 const (
@@ -22,6 +23,10 @@
 	// highUtilization is the KV cache utilization above which a check is logged
 	// at level info.
 	highUtilization = 0.9
+	// downFindingDelay is how long after a failed check other hosts are told. The engines of
+	// a path are checked at the same time, and only their results together show whether
+	// this host is isolated.
+	downFindingDelay = 20 * time.Millisecond
 	// minDownEngines is the number of engines down at once from which on this
 	// host itself may be isolated. It counts as isolated if the engines down
 	// exceed downToUpRatio times those that answer.
@@ -114,6 +119,14 @@
 	return ok && result.down && now.Sub(result.at) <= stalledResultTTL && !c.hostIsolated(now)
 }
 
+// findDown tells the other hosts that an engine is down, unless it has answered since or
+// this host is isolated.
+func (c *checker) findDown(f *Forwarder, r replica.Replica) {
+	if now := time.Now(); c.knownDown(r.Address, now) {
+		f.find(usage.NewEngineID(r.Address, r.Incarnation()), usage.Down, time.Time{}, now)
+	}
+}
+
 // probe checks one engine; it returns within checkTimeout once the request is permitted. An
 // engine that takes no more requests is only checked for whether it can be reached.
 func (c *checker) probe(f *Forwarder, r replica.Replica, requestID string) {
@@ -132,10 +145,12 @@
 	c.results[r.Address] = checkResult{down: err != nil, at: now}
 	c.mu.Unlock()
 	if err != nil {
+		time.AfterFunc(downFindingDelay, func() { c.findDown(f, r) })
 		f.Log.Warn("forward: engine failed check, excluded from new paths", "request", requestID, "address", r.Address, "cause", err.Error())
 		f.Planner.Suspect(r.Address, now.Add(failedExclusion))
 		return
 	}
+	f.find(usage.NewEngineID(r.Address, r.Incarnation()), usage.Back, time.Time{}, now)
 	if !permitted {
 		return
 	}
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -30,6 +30,7 @@
 	tables    *tables
 	limits    *ratelimit.Limits
 	limiter   *ratelimit.Limiter
+	findings  *findings
 	// findingsKnown is the closed channel forward.Dependencies.FindingsKnown.
 	findingsKnown chan struct{}
 }
@@ -106,6 +107,7 @@
 	hosts := func() int { return 1 }
 	f.limits = ratelimit.NewLimits(func(gossip.Item) {}, slog.New(slog.DiscardHandler))
 	f.limiter = ratelimit.NewLimiter(f.limits, ratelimit.SingleHost{}, slog.New(slog.DiscardHandler))
+	f.findings = &findings{}
 	f.findingsKnown = make(chan struct{})
 	close(f.findingsKnown)
 	f.forwarder = forward.New(forward.Dependencies{
@@ -118,6 +120,7 @@
 		}),
 		Upstream: f.upstream,
 		Limiter:  f.limiter,
+		Findings: f.findings,
 		Budget:   forward.NewBudget(forward.BudgetOptions{Extra: budget, Window: 10 * time.Second, Hosts: hosts}),
 		Counter:  meter.New(10, 10), Log: slog.New(slog.DiscardHandler),
 	})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -77,9 +77,11 @@
 	// Links tells which replicas are reached only through other hosts; nil for none.
 	Links   Links
 	Limiter Limiter
-	Budget  *Budget
-	Counter Counter
-	Log     *slog.Logger
+	// Findings tells other hosts about engines; nil for none.
+	Findings Findings
+	Budget   *Budget
+	Counter  Counter
+	Log      *slog.Logger
 }
 
 // Forwarder serves requests of callers. It is safe for concurrent use.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -219,7 +219,7 @@
 		"last_event", s.lastID, "hops", len(path.Hops))
 	if err != nil {
 		release()
-		s.handleRepathError(err, newHops(path, s.attempt.path))
+		s.handleRepathError(err, path)
 		return false
 	}
 	s.attempt.noCapacity = false
@@ -262,24 +262,28 @@
 // handleRepathError excludes an engine that has no capacity for the stream from new
 // paths for refusedExclusion. If the refusal does not name it, it is one of the engines
 // that the path adds; unless there is only one, they are excluded for this stream alone.
-func (s *stream) handleRepathError(err error, added []string) {
+func (s *stream) handleRepathError(err error, path route.Route) {
+	added := newHops(path, s.attempt.path)
 	var e *Error
 	if !errors.As(err, &e) {
 		s.attempt.noCapacity = false
 		return
 	}
 	s.attempt.noCapacity = true
-	until := time.Now().Add(refusedExclusion)
-	switch {
-	case e.Address != "":
-		s.f.Planner.SuspectBusy(e.Address, until)
-	case len(added) == 1:
-		s.f.Planner.SuspectBusy(added[0], until)
-	default:
+	now := time.Now()
+	until := now.Add(refusedExclusion)
+	address := e.Address
+	if address == "" && len(added) == 1 {
+		address = added[0]
+	}
+	if address == "" {
 		for _, address := range added {
 			s.attempt.noRoomUntil[address] = until
 		}
+		return
 	}
+	s.f.Planner.SuspectBusy(address, until)
+	s.f.findFull(address, path, until, now)
 }
 
 func errorText(err error) string {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -114,6 +114,20 @@
 	m.count("bulrushshed_hedges_total", "class", m.classes.limit(class))
 }
 
+// UsageReport counts a report of the use of engines that was sent to or received from one
+// host, by direction.
+func (m *Meter) UsageReport(direction string) {
+	m.count("bulrushshed_usage_reports_total", "direction", direction)
+}
+
+// UsageBytes counts the bytes of the reports that were sent.
+func (m *Meter) UsageBytes(n int) {
+	m.set.GetOrCreateCounter("bulrushshed_usage_sent_bytes_total").Add(n)
+}
+
+// UsageFinding counts a finding of another host about an engine, by its kind, or as ignored.
+func (m *Meter) UsageFinding(kind string) { m.count("bulrushshed_usage_findings_total", "kind", kind) }
+
 // Retried counts a call that was retried at another replica.
 func (m *Meter) Retried(class string) {
 	m.count("bulrushshed_retries_total", "class", m.classes.limit(class))
--- a/peer/message.go
+++ b/peer/message.go
@@ -34,6 +34,8 @@
 	KindConfig Kind = "config"
 	// KindPermit asks for a permit for one request to a replica that names a limit.
 	KindPermit Kind = "permit"
+	// KindUsage reports what the sender uses of engines, and what it found out about them.
+	KindUsage Kind = "usage"
 )
 
 // Message is one request. Only the field for its kind is set; KindJoin has none, KindRules
@@ -45,6 +47,8 @@
 	Demand   *Demand             `cbor:"demand,omitempty"`
 	Feed     *feed.Request       `cbor:"feed,omitempty"`
 	Permit   *ratelimit.Question `cbor:"permit,omitempty"`
+	// Usage is an encoded report of package usage.
+	Usage []byte `cbor:"usage,omitempty"`
 	// Have is the version that a host requesting newer rules already has.
 	Have rule.Version `cbor:"have,omitempty"`
 	// MaxBytes is the size of the largest configuration that the sender can hold, for
@@ -100,4 +104,6 @@
 	// Config is the newest configuration that the host has applied, as the operator wrote
 	// it.
 	Config []byte `cbor:"config,omitempty"`
+	// Usage is set in the reply to KindUsage. Hosts of builds without it do not set it.
+	Usage bool `cbor:"usage,omitempty"`
 }
--- a/pipeline/progress.go
+++ b/pipeline/progress.go
@@ -41,6 +41,14 @@
 	lastEvent time.Time
 }
 
+// HasRecentEvent reports whether an event passed through an engine within a time before now.
+func (t *ProgressTracker) HasRecentEvent(address string, within time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.engines[address]
+	return ok && e.lastEvent.Load() > now.Add(-within).UnixNano()
+}
+
 // Track counts a stream on the engines of its path until Untrack is called.
 func (t *ProgressTracker) Track(r route.Route, now time.Time) *StreamProgress {
 	s := &StreamProgress{tracker: t, lastEvent: now}
--- a/usage/report_test.go
+++ b/usage/report_test.go
@@ -84,31 +84,57 @@
 	}
 }
 
-// A lasting load of reports must stay within the bound for what a host sends, also in a
-// domain of many engines, and be sent as often as that allows.
+// A lasting load must stay within the bound for what a host sends, also in a domain of many
+// engines, and be reported as often as that allows.
 func TestBytesOfAHostAreBounded(t *testing.T) {
 	t.Parallel()
 	const peers, seconds, messageBytes, maxBytesPerSecond = 7, 20, 60, 3000
-	for _, engines := range []int{0, 33, 130} {
+	for _, c := range []struct {
+		name string
+		// uses returns what the host uses in an interval of 100 ms.
+		uses func(n int) []usage.Use
+	}{
+		{"idle", func(int) []usage.Use { return nil }},
+		{"33 engines, 10 streams a second of 5 hops", func(n int) []usage.Use { return streamUses(33, 5, n) }},
+		{"130 engines, 10 streams a second of 10 hops", func(n int) []usage.Use { return streamUses(130, 10, n) }},
+		{"33 engines, all change", func(n int) []usage.Use { return uses(33, n) }},
+		{"130 engines, all change", func(n int) []usage.Use { return uses(130, n) }},
+	} {
 		s := usage.NewSender(1, start)
 		bytes, reports := 0, 0
 		for i := range seconds * 200 {
-			now := start.Add(ms(5 * i))
-			r, ok := s.Next(uses(engines, i/20), true, hostIDs(peers), now)
-			if ok {
+			if r, ok := s.Next(c.uses(i/20), true, hostIDs(peers), start.Add(ms(5*i))); ok {
 				reports++
 				bytes += peers * (len(r.Encode()) + messageBytes)
 			}
 		}
-		t.Logf("got %d bytes and %.1f reports a second with %d engines that change each 100 ms", bytes/seconds, float64(reports)/seconds, engines)
+		t.Logf("got %d bytes and %.1f reports a second: %s", bytes/seconds, float64(reports)/seconds, c.name)
 		// The last report may be paid for after the end.
 		if perSecond := bytes / seconds; perSecond > maxBytesPerSecond*(seconds+2)/seconds {
-			t.Errorf("got %d bytes a second with %d engines, want at most %d", perSecond, engines, maxBytesPerSecond)
+			t.Errorf("got %d bytes a second, want at most %d: %s", perSecond, maxBytesPerSecond, c.name)
 		}
 		is.New(t).True(reports >= seconds/2)
 	}
 }
 
+// streamUses returns what streams use that begin each 100 ms and run for 3 s, each on
+// consecutive engines.
+func streamUses(engines, hops, n int) (all []usage.Use) {
+	const running, cells = 30, 0.01
+	counts := make([]int, engines)
+	for stream := max(n-running, 0); stream < n; stream++ {
+		for h := range hops {
+			counts[(stream*hops*7+h)%engines]++
+		}
+	}
+	for e, count := range counts {
+		if count > 0 {
+			all = append(all, usage.Use{Engine: engineID(e), Cells: float64(count) * cells})
+		}
+	}
+	return all
+}
+
 // A report of all engines must have about 5 bytes for each.
 func TestReportsAreSmall(t *testing.T) {
 	t.Parallel()
--- a/usage/sender.go
+++ b/usage/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,8 +14,10 @@
 	changeInterval = 250 * time.Millisecond
 	renewInterval  = 800 * time.Millisecond
 	// completeInterval is the time between complete reports. They replace what lost
-	// reports would have changed.
+	// reports would have changed. It is longer if they would take more than completeShare
+	// of the bytes that a host may send.
 	completeInterval = 2 * time.Second
+	completeShare    = 1.0 / 3
 	// urgentInterval is the time between a report and the next urgent one, so that what
 	// happens at once is sent at once.
 	urgentInterval = 20 * time.Millisecond
@@ -24,9 +27,13 @@
 	// findingInterval is the time between two findings about the same engine.
 	findingInterval = 300 * time.Millisecond
 	// maxBytesPerSecond bounds what a host sends to all others together over time. Urgent
-	// reports may be sent up to urgentBytes in advance of that.
+	// reports may be sent up to urgentBytes in advance of that, and those after
+	// renewInterval up to renewBytes, so that the others count this host fully.
 	maxBytesPerSecond = 3000
 	urgentBytes       = 1000
+	renewBytes        = 3000
+	// minChanges is the number of engines that a report of changes may always have.
+	minChanges = 8
 	// messageBytes is the assumed size of the headers of one report.
 	messageBytes = 60
 	// minWait is the least time between two decisions.
@@ -62,6 +69,7 @@
 	// have capacity.
 	waiting Kind
 	until   time.Time
+	foundAt time.Time
 }
 
 // NewSender returns the sender of a host that started at the given time.
@@ -74,17 +82,13 @@
 func (s *Sender) Find(e EngineID, k Kind, until, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, f := range s.findings {
-		if f.waiting == 0 && now.Sub(f.sentAt) > downAvoidance {
-			delete(s.findings, id)
-		}
-	}
+	maps.DeleteFunc(s.findings, func(_ EngineID, f *ownFinding) bool { return now.Sub(f.foundAt) > downAvoidance })
 	f, ok := s.findings[e]
 	if !ok {
 		f = &ownFinding{}
 		s.findings[e] = f
 	}
-	f.waiting, f.until = k, until
+	f.waiting, f.until, f.foundAt = k, until, now
 }
 
 // HasFound reports whether this host has told the others recently, or is about to tell
@@ -96,10 +100,7 @@
 	if !ok {
 		return false
 	}
-	if f.waiting != 0 {
-		return f.waiting == k
-	}
-	return f.sentKind == k && now.Sub(f.sentAt) <= downAvoidance
+	return cmp.Or(f.waiting, f.sentKind) == k && now.Sub(f.foundAt) <= downAvoidance
 }
 
 // Next returns the report to send to the given hosts now; ok is false if none is due. A host
@@ -124,16 +125,52 @@
 		return Report{}, false
 	}
 	r = Report{Host: s.host, Incarnation: s.incarnation, Seq: s.seq + 1, Uses: changes, Findings: due}
-	if newPeer || now.Sub(s.completeAt) >= completeInterval {
+	if newPeer || now.Sub(s.completeAt) >= completeIntervalFor(len(current), len(peers)) {
 		r.Complete = true
 		r.Uses = allUses(current)
 		s.completeAt = now
+		clear(s.sent)
+	} else {
+		r.Uses = s.largest(changes, maxChanges(len(peers)))
 	}
 	s.record(r, peers, now)
-	s.sent = current
+	s.changed = len(r.Uses) < len(changes) && !r.Complete
 	return r, true
 }
 
+// completeIntervalFor returns the time between complete reports of a number of engines.
+func completeIntervalFor(engines, peers int) time.Duration {
+	pay := payTime((headerBytes + messageBytes + engines*useBytes) * peers)
+	return max(completeInterval, time.Duration(float64(pay)/completeShare))
+}
+
+// maxChanges returns the number of engines in a report of changes that can be sent each
+// renewInterval with what complete reports leave.
+func maxChanges(peers int) int {
+	bytes := maxBytesPerSecond * (1 - completeShare) * renewInterval.Seconds() / float64(peers)
+	return max((int(bytes)-messageBytes-headerBytes)/useBytes, minChanges)
+}
+
+// largest returns the n largest changes.
+func (s *Sender) largest(changes []Use, n int) []Use {
+	if len(changes) <= n {
+		return changes
+	}
+	size := func(u Use) int {
+		d := u.pack().units() - s.sent[u.Engine.key()].units()
+		return max(d, -d)
+	}
+	slices.SortStableFunc(changes, func(a, b Use) int { return cmp.Compare(size(b), size(a)) })
+	return changes[:n]
+}
+
+// HasSent reports whether any report was sent.
+func (s *Sender) HasSent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seq > 0
+}
+
 // Last returns the report with which this host ends.
 func (s *Sender) Last() Report {
 	s.mu.Lock()
@@ -149,9 +186,9 @@
 	if len(s.peers) == 0 {
 		return renewInterval
 	}
-	at := later(s.sentAt.Add(renewInterval), s.paidAt)
+	at := later(s.sentAt.Add(renewInterval), s.paidAt.Add(-payTime(renewBytes)))
 	if s.changed {
-		at = later(s.sentAt.Add(changeInterval), s.paidAt)
+		at = earlier(at, later(s.sentAt.Add(changeInterval), s.paidAt))
 	}
 	urgentAt := later(s.sentAt.Add(urgentInterval), s.paidAt.Add(-payTime(urgentBytes)))
 	if s.urgent {
@@ -186,20 +223,28 @@
 
 // allowed reports whether a report may be sent now.
 func (s *Sender) allowed(newPeer, found bool, now time.Time) bool {
-	since := now.Sub(s.sentAt)
-	regular := s.changed && since >= changeInterval || since >= renewInterval || newPeer && since >= urgentInterval
-	if regular && !s.paidAt.After(now) {
+	since, debt := now.Sub(s.sentAt), s.paidAt.Sub(now)
+	switch {
+	case since >= renewInterval:
+		return debt <= payTime(renewBytes)
+	case s.changed && since >= changeInterval && debt <= 0, newPeer && since >= urgentInterval && debt <= 0:
 		return true
 	}
-	urgent := (s.urgent || found) && since >= urgentInterval
-	return urgent && s.paidAt.Sub(now) <= payTime(urgentBytes)
+	return (s.urgent || found) && since >= urgentInterval && debt <= payTime(urgentBytes)
 }
 
 // record records that a report is sent to the given hosts.
 func (s *Sender) record(r Report, peers []HostID, now time.Time) {
 	s.seq, s.sentAt = r.Seq, now
 	s.peers = slices.Clone(peers)
-	s.changed, s.urgent = false, false
+	s.urgent = false
+	for _, u := range r.Uses {
+		if p := u.pack(); p == 0 {
+			delete(s.sent, u.Engine.key())
+		} else {
+			s.sent[u.Engine.key()] = p
+		}
+	}
 	s.paidAt = later(s.paidAt, now).Add(payTime((len(r.Encode()) + messageBytes) * len(peers)))
 	for _, f := range r.Findings {
 		own := s.findings[f.Engine]
@@ -210,7 +255,7 @@
 // dueFindings returns the findings that may be sent now.
 func (s *Sender) dueFindings(now time.Time) (due []Finding) {
 	for id, f := range s.findings {
-		if f.waiting == Full && !now.Before(f.until) {
+		if f.waiting == Full && !now.Before(f.until) || now.Sub(f.foundAt) > downAvoidance {
 			f.waiting = 0
 		}
 		if f.waiting == 0 || now.Sub(f.sentAt) < findingInterval || len(due) == maxFindings {
