--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 # The packages with state shared between goroutines, tested with the race detector.
 shared := ./accept ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
-	./ingress ./ingresshttp ./intake ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica ./retrybudget
+	./ingress ./ingresshttp ./intake ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica ./retrybudget ./serving ./usage
 
 .PHONY: build demo up test overload race lint prove bench fuzz hosted
 
--- a/daemon/hosted/feed.go
+++ b/daemon/hosted/feed.go
@@ -72,6 +72,9 @@
 	case m.Kind == peer.KindBorrow && m.Borrow != nil:
 		loan := r.host.retries.Lend(*m.Borrow)
 		return peer.Reply{Loan: &loan}
+	case m.Kind == peer.KindUsage && len(m.Usage) > 0:
+		r.host.usage.receive(m.Usage)
+		return peer.Reply{Usage: true}
 	case m.Kind == peer.KindConfig:
 		return r.host.configReply(m.MaxBytes)
 	case m.Kind == peer.KindFeed && m.Feed != nil:
--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -87,6 +87,7 @@
 	retries       *retrybudget.Budget
 	group         *group
 	serving       *servingHosts
+	usage         *usageExchange
 	feed          *feedRelay
 	dialer        *relay.Dialer
 	connector     *relay.Connector
@@ -154,6 +155,7 @@
 		h.follow(loopCtx, h.replicaSubscription()),
 		h.group.run(loopCtx),
 		h.findings.run(loopCtx),
+		h.usage.run(loopCtx),
 		loop.Every(loopCtx, storeDelay, h.findings.store.write),
 		loop.Every(loopCtx, catchUpInterval, h.catchUpConfig),
 		loop.Every(loopCtx, controlInterval, h.controller.placeAll),
@@ -169,6 +171,7 @@
 		h.log.Error("host: a server failed, stopping", "cause", err.Error())
 	}
 	h.drain()
+	h.usage.sendLast()
 	cancel()
 	h.awaitLoops(loops)
 	h.log.Info("host: stopped")
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -79,7 +79,10 @@
 	if h.feed, err = newFeedRelay(h, identity); err != nil {
 		return nil, err
 	}
-	h.planner = pipeline.NewPlanner(pipeline.Options{FailureDomain: cfg.FailureDomain, LocalHosts: h.serving.localSize})
+	h.usage = newUsageExchange(h)
+	h.planner = pipeline.NewPlanner(pipeline.Options{
+		FailureDomain: cfg.FailureDomain, LocalHosts: h.serving.localSize, Others: h.usage.table, Changed: h.usage.signal,
+	})
 	h.controller = newController(h)
 	h.findings = newFindings(h)
 	h.quarantine = quarantine.New(quarantine.Options{
@@ -88,23 +91,29 @@
 	h.limits = ratelimit.NewLimits(h.publishItem, h.log)
 	h.limiter = ratelimit.NewLimiter(h.limits, limitHosts{h}, h.log)
 	h.replicaClient = platform.ReplicaClient{States: replicaStates{h}, Dial: h.dialer.Dial}
+	h.ledger = intake.NewLedger(cfg.RequestMemoryBytes())
+	h.callerServer = newCallerServer(h)
+	h.registerGauges()
+	return h, nil
+}
+
+// newCallerServer returns the server for callers, whose requests the host forwards.
+func newCallerServer(h *Host) *ingresshttp.Server {
 	next := stoppingForwarder{h, forward.New(forward.Dependencies{
-		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: pipeline.NewProgressTracker(), Upstream: h.replicaClient,
+		Tables: h, Replicas: h.replicas, Picker: h.picker, Planner: h.planner, Progress: h.usage.progress, Upstream: h.replicaClient,
 		Limiter:    h.limiter,
+		Findings:   h.usage,
 		Links:      h.dialer,
 		Quarantine: h.quarantine, FindingsKnown: h.findings.known,
 		Budget:  h.retries,
 		Counter: h.meter, Log: h.log,
 	})}
-	h.ledger = intake.NewLedger(cfg.RequestMemoryBytes())
-	h.callerServer = ingresshttp.NewServer(context.Background(), ingresshttp.Options{
+	return ingresshttp.NewServer(context.Background(), ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
-		Ledger: h.ledger, BodyPace: intake.Pace{Grace: cfg.BodyGrace.D(), BytesPerSecond: cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
+		Ledger: h.ledger, BodyPace: intake.Pace{Grace: h.cfg.BodyGrace.D(), BytesPerSecond: h.cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
 		Limits: h.callerLimits, Connections: h.callerConnections(),
 		Log: h.log,
 	}, next)
-	h.registerGauges()
-	return h, nil
 }
 
 // peerIdentity is how this host authenticates itself to other hosts. pin
@@ -158,6 +167,7 @@
 	h.meter.Gauge("bulrushshed_connections", func() float64 { return float64(h.callerServer.Connections()) })
 	h.meter.Gauge("bulrushshed_connections_max", func() float64 { return float64(h.bounds.callers.Max) })
 	h.meter.Gauge("bulrushshed_serving_hosts", func() float64 { return float64(len(h.serving.all())) })
+	h.meter.Gauge("bulrushshed_usage_hosts", func() float64 { return float64(len(h.usage.table.RecentHosts(time.Now()))) })
 	h.meter.Gauge("bulrushshed_hosts", func() float64 { return float64(h.group.size()) })
 	h.meter.Gauge("bulrushshed_quarantined_features", func() float64 { return float64(h.quarantine.Held(time.Now())) })
 	h.meter.Gauge("bulrushshed_limited_replicas", func() float64 { return float64(h.limits.Len(time.Now())) })
--- a/peer/message.go
+++ b/peer/message.go
@@ -37,6 +37,8 @@
 	KindPermit Kind = "permit"
 	// KindBorrow asks for tokens of a retry budget.
 	KindBorrow Kind = "borrow"
+	// KindUsage reports what the sender uses of engines, and what it found out about them.
+	KindUsage Kind = "usage"
 )
 
 // Message is one request. Only the field for its kind is set; KindJoin has none, KindRules
@@ -49,6 +51,8 @@
 	Feed     *feed.Request         `cbor:"feed,omitempty"`
 	Permit   *ratelimit.Question   `cbor:"permit,omitempty"`
 	Borrow   *retrybudget.Question `cbor:"borrow,omitempty"`
+	// Usage is an encoded report of package usage.
+	Usage []byte `cbor:"usage,omitempty"`
 	// Have is the version that a host requesting newer rules already has.
 	Have rule.Version `cbor:"have,omitempty"`
 	// MaxBytes is the size of the largest configuration that the sender can hold, for
@@ -105,4 +109,6 @@
 	// Config is the newest configuration that the host has applied, as the operator wrote
 	// it.
 	Config []byte `cbor:"config,omitempty"`
+	// Usage is set in the reply to KindUsage. Hosts of builds without it do not set it.
+	Usage bool `cbor:"usage,omitempty"`
 }
