forward, intake: large answers wait for the memory of the host

An answer of more than 16 KiB, and an event of more than 8 KiB, is now read on only once its memory is reserved. If it does not fit, answers that their callers have not read for 5 s are ended, and it waits until the deadline of the request. The buffers of large answers grow in few steps, as the garbage of many small ones added to the peak.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
 		first: st.first, path: st.path, startedAt: time.Now(), progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
-		updates: make(chan update, 4), cancel: cancel, release: st.release, noRoomUntil: map[string]time.Time{},
+		updates: make(chan update, 4), window: eventWindow{request: s.req}, cancel: cancel, release: st.release, noRoomUntil: map[string]time.Time{},
 	}
 	s.attempt = a
 	send := Send{
@@ -87,7 +87,7 @@
 	answer, err := up.Send(ctx, send)
 	failed := err == nil && !answer.NotRun && (answer.Status != http.StatusOK || !answer.Signed)
 	if failed {
-		err = bufferBody(answer)
+		err = bufferBody(ctx, answer, send.Request)
 	}
 	u := update{answer: answer}
 	u.event.err = err
--- a/forward/events.go
+++ b/forward/events.go
@@ -48,11 +48,8 @@
 func readEvent(ctx context.Context, r *bufio.Reader, w *eventWindow) event {
 	var e event
 	for {
-		if len(e.bytes) > smallEventBytes {
-			if err := w.await(ctx); err != nil {
-				e.err = err
-				return e
-			}
+		if e.bytes, e.err = w.grow(ctx, e.bytes, r.Size()); e.err != nil {
+			return e
 		}
 		line, err := r.ReadSlice('\n')
 		e.bytes = append(e.bytes, line...)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -42,6 +42,8 @@
 	// maxPlainBody limits the answer of a plain service, which is buffered until
 	// it is complete. An answer that is not shorter counts as broken.
 	maxPlainBody = 256 << 10
+	// smallBodyBytes is the size up to which an answer is read without waiting for memory.
+	smallBodyBytes = 16 << 10
 	// minFailureStatus is the lowest status with which a replica reports a
 	// failure of its own.
 	minFailureStatus = http.StatusInternalServerError
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -181,7 +181,7 @@
 		return result
 	}
 	result.ran = true
-	err = bufferBody(a)
+	err = bufferBody(p.ctx, a, p.req)
 	switch {
 	case err != nil:
 		result.retryable, result.cause, result.err = safe, "broken_body", err
@@ -199,10 +199,14 @@
 	return &Response{Status: a.Status, Header: a.Header, Body: a.Body}
 }
 
-// bufferBody reads the body of an answer to its end and buffers it.
-func bufferBody(a *UpstreamResponse) error {
+// bufferBody reads the body of an answer to its end and buffers it. It waits for the memory
+// of a large one.
+func bufferBody(ctx context.Context, a *UpstreamResponse, req *Request) error {
 	defer func(body io.Closer) { _ = body.Close() }(a.Body)
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBody))
+	body, err := io.ReadAll(io.LimitReader(a.Body, smallBodyBytes))
+	if err == nil && len(body) == smallBodyBytes {
+		body, err = readLargeBody(ctx, a.Body, body, req)
+	}
 	if err == nil && len(body) == maxPlainBody {
 		err = io.ErrShortBuffer
 	}
@@ -210,5 +214,16 @@
 	return err
 }
 
+// readLargeBody reads the rest of a body that is longer than smallBodyBytes.
+func readLargeBody(ctx context.Context, r io.Reader, begin []byte, req *Request) ([]byte, error) {
+	if err := req.awaitMemory(ctx, maxPlainBody); err != nil {
+		return nil, err
+	}
+	body := bytes.NewBuffer(make([]byte, 0, maxPlainBody+bytes.MinRead))
+	_, _ = body.Write(begin)
+	_, err := body.ReadFrom(io.LimitReader(r, int64(maxPlainBody-len(begin))))
+	return body.Bytes(), err
+}
+
 // randomDuration returns a random duration in [from, to).
 func randomDuration(from, to time.Duration) time.Duration { return from + rand.N(to-from) }
--- a/forward/request.go
+++ b/forward/request.go
@@ -48,6 +48,22 @@
 	Prompt uint64
 	// Arrived is when the request was read.
 	Arrived time.Time
+	// Memory bounds what large answers hold; nil for no bound.
+	Memory Memory
+}
+
+// Memory bounds the memory of the answers that callers have not read yet.
+type Memory interface {
+	// AwaitResponse waits until the answer to the request may hold n bytes, or ctx ends.
+	AwaitResponse(ctx context.Context, n int) error
+}
+
+// awaitMemory waits until the answer to the request may hold n bytes.
+func (r *Request) awaitMemory(ctx context.Context, n int) error {
+	if r.Memory == nil {
+		return nil
+	}
+	return r.Memory.AwaitResponse(ctx, n)
 }
 
 // formatParts formats prompt parts for a log line.
--- a/ingresshttp/response.go
+++ b/ingresshttp/response.go
@@ -1,8 +1,12 @@
 package ingresshttp
 
 import (
+	"context"
 	"io"
 	"time"
+
+	"bulrushshed/forward"
+	"bulrushshed/loop"
 )
 
 const (
@@ -16,6 +20,22 @@
 // hold records that the response of a request holds n bytes.
 func (m *requestMemory) hold(n int) { m.ledger.SetResponse(&m.entry, n, time.Now()) }
 
+// responseRetryInterval is the interval at which an answer that waits for memory asks again.
+const responseRetryInterval = 20 * time.Millisecond
+
+var _ forward.Memory = (*requestMemory)(nil)
+
+// AwaitResponse implements forward.Memory.
+func (m *requestMemory) AwaitResponse(ctx context.Context, n int) error {
+	for ctx.Err() == nil {
+		if m.ledger.GrowResponse(&m.entry, n, time.Now()) {
+			return nil
+		}
+		loop.SleepContext(ctx, responseRetryInterval)
+	}
+	return ctx.Err()
+}
+
 // streamBody is the body of a stream. It ends the context and the watch of its request when
 // it is closed.
 type streamBody struct {
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -200,6 +200,7 @@
 		return
 	}
 	req.Arrived = time.Now()
+	req.Memory = &conn.memory
 	workCtx, cancel := context.WithCancel(s.baseCtx)
 	conn.watch(cancel)
 	resp := s.forwarder.Do(workCtx, req)
--- a/intake/evict.go
+++ b/intake/evict.go
@@ -50,6 +50,18 @@
 	return l.mayFit(e, n)
 }
 
+// evictStalledWrites evicts responses that their callers do not read, until n bytes fit.
+func (l *Ledger) evictStalledWrites(e *Entry, n int, now time.Time) {
+	for _, other := range slices.Clone(l.entries) {
+		if l.shortage(e, n) <= l.evictedFor(e, n) {
+			return
+		}
+		if other != e && !other.evicted && other.isWriteStalled(now) {
+			l.evict(other, now)
+		}
+	}
+}
+
 // isLarge reports whether an entry would be large with n more bytes.
 func isLarge(e *Entry, n int) bool { return e.held+n > smallEntryBytes }
 
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -165,6 +165,26 @@
 	l.grantWaiting(now)
 }
 
+// GrowResponse reserves the bytes that are missing to n for the response of a request, if
+// they fit. Otherwise it evicts responses that their callers do not read, and returns false;
+// the bytes may fit a little later.
+func (l *Ledger) GrowResponse(e *Entry, n int, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	more := n - e.response
+	if !e.open || more <= 0 {
+		return true
+	}
+	if l.shortage(e, more) > 0 {
+		l.evictStalledWrites(e, more, now)
+		return false
+	}
+	l.responses += more
+	l.add(e, more)
+	e.response = n
+	return true
+}
+
 // BeginWrite records that a write of the response has begun, and EndWrite that it has
 // ended.
 func (l *Ledger) BeginWrite(e *Entry, now time.Time) {
