--- a/daemon/hosted/config.go
+++ b/daemon/hosted/config.go
@@ -29,9 +29,8 @@
 	// catchUpHosts is the number of hosts that are asked in one interval.
 	catchUpHosts = 3
 	// maxRecordFraction is the fraction of settings.Host.MemoryMB up to which a record of
-	// the store is held, such as a configuration. One of 12 MB with 60,000 routes takes
-	// 2.5 times its size, decoding it allocates 3.7 times its size more, and the old one
-	// is held until it is replaced.
+	// the store is held, such as a configuration. It takes several times its size
+	// while it is decoded, and the old one is held until it is replaced.
 	maxRecordFraction = 0.1
 	// minRecordBytes is the least bound of a record. Its answer in base64 has 16 MiB.
 	minRecordBytes = 12 << 20
--- a/daemon/hosted/members.go
+++ b/daemon/hosted/members.go
@@ -44,8 +44,8 @@
 // membersDue reports whether members may be missing in the list of a generation, which is
 // looked at once, and again while this host is missing. The store
 // lists a host once it owns a partition, and the hosts that joined before it give one up
-// only with their next heartbeats; the generation does not change then. With 195 hosts
-// that started at once, 64 were listed, and the others read the store for themselves.
+// only with their next heartbeats; the generation does not change then. Hosts
+// that are not listed would all read the store for themselves.
 func (g *group) membersDue(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/hosted/usage.go
+++ b/daemon/hosted/usage.go
@@ -175,7 +175,8 @@
 }
 
 // send starts to send a report to each of the given hosts. One that still receives the
-// report before gets none; the next complete one makes up for it.
+// report before gets none; the next complete one makes up for its uses, but its findings are lost
+// to that host.
 func (u *usageExchange) send(ctx context.Context, r usage.Report, peers []Peer, timeout time.Duration) {
 	body := r.Encode()
 	for _, p := range peers {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -46,13 +46,13 @@
 	gaps recentGaps
 	// stallChecks counts the stall checks since the last event.
 	stallChecks int
-	// reroutes counts the reroutes of the attempt. noRoom is set if an engine had
+	// reroutes counts the reroutes of the attempt. noCapacity is set if an engine had
 	// no capacity for the last reroute.
 	reroutes   int
 	noCapacity bool
-	// noRoomUntil holds, by address, until when engines that may have had no capacity for a
+	// noCapacityUntil holds, by address, until when engines that may have had no capacity for a
 	// reroute are avoided by the next one.
-	noRoomUntil map[string]time.Time
+	noCapacityUntil map[string]time.Time
 	// revision is that of the view of the replicas in which the path was last
 	// checked for draining engines. rerouteAt is when the attempt is rerouted off such
 	// engines; zero if there are none.
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &attempt{
 		first: st.first, path: st.path, startedAt: time.Now(), progress: s.f.Progress.Track(st.path, time.Now()), observed: s.f.Quarantine.Observe(s.features),
-		updates: make(chan update, 4), window: eventWindow{request: s.req}, cancel: cancel, release: st.release, noRoomUntil: map[string]time.Time{},
+		updates: make(chan update, 4), window: eventWindow{request: s.req}, cancel: cancel, release: st.release, noCapacityUntil: map[string]time.Time{},
 	}
 	s.attempt = a
 	send := Send{
--- a/forward/request.go
+++ b/forward/request.go
@@ -54,7 +54,8 @@
 
 // Memory bounds the memory of the answers that callers have not read yet.
 type Memory interface {
-	// AwaitResponse waits until the answer to the request may hold n bytes, or ctx ends.
+	// AwaitResponse waits until the answer to the request may hold n bytes in all, or ctx
+	// ends. Of answers to one request that are read at the same time, only the largest counts.
 	AwaitResponse(ctx context.Context, n int) error
 }
 
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -240,13 +240,13 @@
 func (s *stream) searchReroute() (r route.Route, release func(), err error) {
 	now := time.Now()
 	req := s.pathRequest()
-	for address, until := range s.attempt.noRoomUntil {
+	for address, until := range s.attempt.noCapacityUntil {
 		if now.Before(until) {
 			req.Avoid[address] = true
 		}
 	}
 	r, release, err = s.f.Planner.Reroute(s.f.Replicas.View(), req, s.attempt.path, now)
-	if err != nil && len(s.attempt.noRoomUntil) > 0 {
+	if err != nil && len(s.attempt.noCapacityUntil) > 0 {
 		return s.f.Planner.Reroute(s.f.Replicas.View(), s.pathRequest(), s.attempt.path, now)
 	}
 	return r, release, err
@@ -278,7 +278,7 @@
 	}
 	if address == "" {
 		for _, address := range added {
-			s.attempt.noRoomUntil[address] = until
+			s.attempt.noCapacityUntil[address] = until
 		}
 		return
 	}
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -7,7 +7,8 @@
 
 // Limits bound what a caller may send, and how long it may take.
 type Limits struct {
-	// HeaderBytes and BodyBytes bound the header and the body of a request.
+	// HeaderBytes and BodyBytes bound the header fields and the body of a request. A server
+	// may have a lower bound on the header.
 	HeaderBytes, BodyBytes int
 	// HeaderTimeout bounds the time from the first byte of a request to the end of its
 	// header.
--- a/ingresshttp/refusal.go
+++ b/ingresshttp/refusal.go
@@ -24,7 +24,7 @@
 	maxMemoryRetryAfter = 750 * time.Millisecond
 )
 
-// refusal is why the body of a request was not read to its end.
+// refusal is why a request was not read to its end.
 type refusal struct {
 	status int
 	cause  string
--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -28,7 +28,7 @@
 	defaultRequestMemory = 64 << 20
 )
 
-// defaultBodyPace is wider than the 20 s that the whole body had before.
+// defaultBodyPace is the lowest rate of bodies if the options name none.
 var defaultBodyPace = intake.Pace{Grace: 20 * time.Second, BytesPerSecond: 16 << 10}
 
 // Forwarder serves requests. ctx is cancelled when the caller disconnects.
@@ -191,6 +191,13 @@
 		s.closeAfterAnswer(ctx)
 		return
 	}
+	if len(ctx.Request.Header.RawHeaders()) > s.opts.Limits().HeaderBytes {
+		r := newRefusal(causeTooLarge, nil)
+		r.status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		s.refuse(ctx, r)
+		s.closeAfterAnswer(ctx)
+		return
+	}
 	if s.handler != nil {
 		s.serveHandler(ctx, conn)
 		return
--- a/intake/evict.go
+++ b/intake/evict.go
@@ -144,7 +144,7 @@
 	if e.ready != nil {
 		l.stopWaiting(e, now)
 	}
-	e.holder.Evict(!e.reading)
+	e.holder.Evict(!e.reading || !e.writingSince.IsZero())
 }
 
 // stopWaiting ends the wait of an entry.
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -47,8 +47,8 @@
 
 // Stats is the state of a ledger.
 type Stats struct {
-	// Reserved and Capacity are in bytes. Reserved includes Responses, which are not
-	// refused and may therefore exceed the capacity.
+	// Reserved and Capacity are in bytes. Reserved includes Responses. Small ones
+	// are counted even if they do not fit, so that Reserved may exceed Capacity.
 	Reserved  int
 	Responses int
 	Capacity  int
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -143,7 +143,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting[r.Service] = lo.Without(b.waiting[r.Service], w)
+	if waiting, ok := b.waiting[r.Service]; ok {
+		b.waiting[r.Service] = lo.Without(waiting, w)
+	}
 	select {
 	case allowed := <-w.decided:
 		return allowed
--- a/serving/subset.go
+++ b/serving/subset.go
@@ -11,8 +11,8 @@
 
 const (
 	// BaseSize is the number of hosts that are selected in a failure domain whose hosts
-	// are not loaded. Half of them can be lost at once while the rest carry what they
-	// carried when they were half loaded.
+	// are not loaded. If half of them are lost, the rest can carry the load of all, as long
+	// as each was at most half loaded.
 	BaseSize = 8
 	// loadedFraction is the fraction of the selected hosts that may be loaded before more
 	// hosts are selected.
