--- a/caller/server.go
+++ b/caller/server.go
@@ -219,6 +219,12 @@
 	if err != nil {
 		return s.respondError(c, info, err)
 	}
+	if outcome.PromisesNotRun(answer.Status) {
+		// The service did not state that it had not run the call.
+		return s.respondError(c, info, &outcome.Error{
+			Op: "call", Kind: outcome.Unknown, Cause: outcome.CauseNoAnswer, Message: "the service answered with status " + strconv.Itoa(answer.Status),
+		})
+	}
 	// A service that responds with a 5xx status may or may not have run the call.
 	kind := outcome.Answered
 	if answer.Status >= fiber.StatusInternalServerError {
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -38,6 +39,8 @@
 
 	mu     sync.Mutex
 	bodies []string
+	// status is the status of the service's answers, or 0 for 200.
+	status int
 }
 
 func (b *backend) Run(_ context.Context, r completion.Request, sink completion.Sink) error {
@@ -53,7 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.bodies = append(b.bodies, string(r.Body))
-	return outcome.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: []byte("done")}, nil
+	return outcome.Answer{Status: cmp.Or(b.status, http.StatusOK), ContentType: "text/plain", Body: []byte("done")}, nil
 }
 
 func (b *backend) delivered() []string {
@@ -230,6 +233,23 @@
 	}
 }
 
+// Guards against an answer that promises that a call did not run though its service ran it:
+// the service has answered with such a status, and did not state that it had not run it.
+func TestStatusOfServicePromisesNothing(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		is := is.New(t)
+		f := startServer(t, intake.Pace{})
+		f.status = status
+		resp := f.exchange(t, post("/stock/1", lengthOf(3), "abc"))
+		is.Equal(resp.Status, http.StatusBadGateway)
+		is.Equal(resp.Header.Get("Outcome"), string(outcome.Unknown))
+		is.Equal(f.delivered(), []string{"abc"})
+	}
+}
+
 // Requests inside the limits are served with their bodies, and release their memory.
 func TestRequestsAreServedWithTheirBodies(t *testing.T) {
 	t.Parallel()
--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -53,6 +53,9 @@
 	// retryAfter is the Retry-After of the 503 with which the replica refuses requests, or
 	// "" if it takes them.
 	retryAfter string
+	// failureStatus is the status with which the replica fails requests after it has run
+	// them, or 0 if it doesn't fail.
+	failureStatus int
 	// repeats records the requests, unless it is nil.
 	repeats *repeats
 	// hung lets the engine answer nothing, also on streams that have begun. streams counts
@@ -172,6 +175,7 @@
 	case req.URL.Path == "/api/report":
 		r.awaitHang(req)
 		_, _ = fmt.Fprintf(w, `{"sequence":%d,"pace":1,"kv_total":100}`, len(r.receivedOrders()))
+	case r.failAfterRun(w, req):
 	case req.Header.Get("X-Bulrushshed-Hop-Count") != "":
 		r.stream(w, req)
 	case r.isDeadly(req.URL.Path):
@@ -218,6 +222,19 @@
 	return true
 }
 
+// failAfterRun runs the request and fails it, if the replica fails requests.
+func (r *replicaStandIn) failAfterRun(w http.ResponseWriter, req *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failureStatus == 0 {
+		return false
+	}
+	r.credentials = append(r.credentials, req.Header.Get("X-Bulrushshed-Tenant"))
+	r.writeSignatureHeaders(w, req)
+	w.WriteHeader(r.failureStatus)
+	return true
+}
+
 // set changes how the replica answers.
 func (r *replicaStandIn) set(change func(r *replicaStandIn)) {
 	r.mu.Lock()
--- a/enginehttp/client.go
+++ b/enginehttp/client.go
@@ -135,7 +135,7 @@
 	c.limits.Record(first.EngineIncarnation(), ratelimit.ParseNaming(resp.Header(engine.HeaderLimit)), sentAt, time.Now())
 	if resp.Status != http.StatusOK {
 		kind := KindBroken
-		if resp.Header(engine.HeaderNotRun) != "" {
+		if resp.Status >= http.StatusBadRequest && resp.Header(engine.HeaderNotRun) != "" {
 			kind = KindNotRun
 		}
 		cause := fmt.Errorf("got status %d, want %d", resp.Status, http.StatusOK)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bulrushshed/outcome"
 	"bulrushshed/pipeline"
 	"bulrushshed/quarantine"
 	"bulrushshed/replica"
@@ -142,7 +143,10 @@
 		return causeRefused
 	}
 	s.markMayHaveRun(a.first)
-	if u.answer.Status != http.StatusOK || !u.answer.Signed {
+	switch {
+	case outcome.PromisesNotRun(u.answer.Status):
+		return causeUnstatedRefusal
+	case u.answer.Status != http.StatusOK || !u.answer.Signed:
 		s.failure = u.answer
 		return "failed_by_replica"
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -69,7 +69,7 @@
 // the request was sent.
 func (p *plainCall) observeEnd(result sendResult, sentAt time.Time) {
 	switch {
-	case result.resp != nil:
+	case result.resp != nil || result.cause == causeUnstatedRefusal:
 		p.f.Quarantine.RecordSuccess(p.features, sentAt, time.Now())
 	case result.err != nil && p.ctx.Err() == nil && p.f.hasCrashed(result.replica):
 		p.f.Quarantine.RecordCrash(p.features, result.replica.Incarnation(), time.Now())
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -187,6 +187,8 @@
 		result.retryable, result.cause, result.err = safe, "broken_body", err
 	case a.Status < http.StatusMultipleChoices && !a.Signed:
 		result.retryable, result.cause = safe, "unsigned"
+	case outcome.PromisesNotRun(a.Status):
+		result.retryable, result.cause = safe, causeUnstatedRefusal
 	default:
 		result.resp = responseFrom(a)
 		result.retryable, result.cause = safe && a.Status >= minFailureStatus, "failed_by_replica"
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -89,6 +90,36 @@
 	}
 }
 
+// Guards against a status that promises that a request did not run, where its replica did not
+// state that. A request that may run more than once is retried instead.
+func TestUnstatedRefusalPromisesNothing(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		for rule, sends := range map[string]int{"unsafe": 1, "safe": 2, "stream": 1} {
+			t.Run(fmt.Sprint(rule, status), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFixture(10)
+					cfg := config()
+					cfg.Rules[0].Resumable = false // the rule of streams
+					f.tables.set(ingress.NewTable(cfg), true)
+					for _, id := range []string{"p0", "p1", "p2", "e0", "e1"} {
+						f.upstream.answers[id] = func(forward.Send) (*forward.UpstreamResponse, error) { return answerWith(status, "no"), nil }
+					}
+					resp := f.forwarder.Do(t.Context(), request(rule))
+					is.Equal(resp.Status, http.StatusBadGateway)
+					is.Equal(len(resp.Header), 0)
+					is.Equal(resp.RetryAfter, time.Duration(0))
+					is.Equal(len(f.upstream.sent()), sends)
+				})
+			})
+		}
+	}
+}
+
 // A safe request that a replica delays is also sent to a second one. Each send carries
 // the time left when it is sent.
 func TestSafeRequestIsHedged(t *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -39,6 +39,9 @@
 	causeLimited = "limited"
 	// causeRefused means that a replica stated that it did not run the request.
 	causeRefused = "not_run"
+	// causeUnstatedRefusal means that a replica answered with a status that promises that
+	// the request did not run, but did not state that it hadn't run it.
+	causeUnstatedRefusal = "unstated_refusal"
 	// causeNotSent means that the replica received nothing.
 	causeNotSent = "not_sent"
 	// causeBroken means that an answer broke off after its head, and causeBrokenAnswer
@@ -61,7 +64,8 @@
 	// head is the first successful answer that a replica signed. The caller receives
 	// its status and header fields.
 	head *UpstreamResponse
-	// failure is the answer of a replica that failed the request, or nil.
+	// failure is the answer of a replica that failed the request, and that the caller may
+	// receive, or nil.
 	failure *UpstreamResponse
 	// ran has the addresses of replicas that have, or may have, run the request;
 	// unreachable counts those that could not be reached.
