--- a/daemon/hosted/follow.go
+++ b/daemon/hosted/follow.go
@@ -223,7 +223,7 @@
 	}
 	c.host.logSkipped(c.topic, p)
 	c.applyPage(p, origin{snapshot: c.next == feed.Start, direct: true}, sentAt)
-	if c.batchDelay > 0 && len(p.Changes) > 0 {
+	if c.batchDelay > 0 && len(p.Changes) > 0 && !p.Partial {
 		loop.SleepContext(ctx, c.batchDelay)
 	}
 	c.awaitMembers(ctx)
@@ -252,7 +252,7 @@
 }
 
 // applyPage applies a page and makes it available to followers. currentAsOf is
-// the time as of which the page is current.
+// the time as of which the page is current, unless it is partial.
 func (c *cursor) applyPage(p feed.Page, from origin, currentAsOf time.Duration) {
 	if !c.connected {
 		c.connected = true
@@ -262,9 +262,14 @@
 		c.apply(p, from)
 		c.host.feed.log.Put(c.topic, c.relayed(p), from.snapshot)
 	}
+	c.next = p.End()
+	if p.Partial {
+		c.host.log.Info("store: read a part of the changes, reading on", "topic", c.topic, "next", c.next)
+		c.host.feed.log.MarkPartial(c.topic, currentAsOf)
+		return
+	}
 	c.confirm(currentAsOf)
 	c.host.feed.log.MarkCurrent(c.topic, currentAsOf, from.direct)
-	c.next = p.End()
 }
 
 // isExpired reports whether the store no longer has the position that was read.
--- a/daemon/hosted/store_standin_test.go
+++ b/daemon/hosted/store_standin_test.go
@@ -45,6 +45,11 @@
 	down        bool
 	// unreadable is a topic whose reads fail, or "".
 	unreadable string
+	// pageRecords is the largest number of records that a read returns, or 0 for no limit.
+	pageRecords int
+	// blockedFrom is the offset from which on reads of the configuration fail, or 0, and
+	// blockedReads counts the reads that failed for it.
+	blockedFrom, blockedReads int
 	// waiting counts the reads that wait for changes, by the address of their
 	// proxy.
 	waiting map[string]int
@@ -330,14 +335,18 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
+		if s.blocks(q.Get("topic"), from) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(all) > from {
-			writeRecords(w, all[from:])
+			writeRecords(w, s.page(all[from:]), len(all))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeRecords(w, nil)
+			writeRecords(w, nil, len(all))
 			return
 		case <-r.Context().Done():
 			return
@@ -345,8 +354,45 @@
 	}
 }
 
-func writeRecords(w io.Writer, all []record) {
-	out := append([]byte(nil), make([]byte, 16)...)
+// page returns the records that a read returns of those that it may return.
+func (s *store) page(all []record) []record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pageRecords > 0 {
+		return all[:min(len(all), s.pageRecords)]
+	}
+	return all
+}
+
+// blocks reports whether a read fails as it begins at blockedFrom or later.
+func (s *store) blocks(topic string, from int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.blockedFrom == 0 || topic != "keyed.op" || from < s.blockedFrom {
+		return false
+	}
+	s.blockedReads++
+	return true
+}
+
+// set changes how the store answers.
+func (s *store) set(change func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// blockedReadCount returns the number of reads that failed for blockedFrom.
+func (s *store) blockedReadCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blockedReads
+}
+
+// writeRecords writes records of a topic with the given end offset.
+func writeRecords(w io.Writer, all []record, end int) {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, 0)
 	for _, rec := range all {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.key)+len(rec.value)))
 		out = append(out, byte(len(rec.key)))
--- a/feed/log.go
+++ b/feed/log.go
@@ -157,6 +157,17 @@
 	t.notify()
 }
 
+// MarkPartial records that the store answered a read that was sent at the given time with
+// some of the changes of a topic that it had. The topic is as current as before.
+func (l *Log) MarkPartial(name string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	t.direct = true
+	l.storeReachedAt = max(l.storeReachedAt, at)
+	t.notify()
+}
+
 // MarkUnavailable records that this host currently cannot read a topic from the
 // store.
 func (l *Log) MarkUnavailable(name string) {
--- a/feed/message.go
+++ b/feed/message.go
@@ -16,6 +16,9 @@
 	Changes []Change `cbor:"changes,omitempty"`
 	Era     int64    `cbor:"era,omitempty"`
 	Next    int64    `cbor:"next"`
+	// Partial is set if the store had further changes when the page was read from it. It is
+	// never relayed.
+	Partial bool `cbor:"-"`
 	// Skipped lists the changes that this host has read but cannot hold. It is never
 	// relayed.
 	Skipped []Skipped `cbor:"-"`
--- a/overload/platform_standin_test.go
+++ b/overload/platform_standin_test.go
@@ -168,13 +168,13 @@
 		all, changed := s.topics[q.Get("topic")], s.changed
 		s.mu.Unlock()
 		if len(all) > from {
-			writeRecords(w, all[from:])
+			writeRecords(w, all[from:], len(all))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeRecords(w, nil)
+			writeRecords(w, nil, len(all))
 			return
 		case <-r.Context().Done():
 			return
@@ -182,9 +182,10 @@
 	}
 }
 
-func writeRecords(w io.Writer, all []record) {
-	const headerBytes = 16
-	out := append([]byte(nil), make([]byte, headerBytes)...)
+// writeRecords writes records of a topic with the given end offset.
+func writeRecords(w io.Writer, all []record, end int) {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, 0)
 	for _, rec := range all {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.key)+len(rec.value)))
 		out = append(out, byte(len(rec.key)))
