--- a/daemon/join.go
+++ b/daemon/join.go
@@ -16,10 +16,7 @@
 
 // rulesKnown reports whether this host knows the active rules, or knows that
 // there are none.
-func (d *Daemon) rulesKnown() bool {
-	s := d.follower.State()
-	return s.Version > 0 || s.Complete && !s.LastRead.IsZero()
-}
+func (d *Daemon) rulesKnown() bool { return d.follower.State().Known }
 
 // join waits until this host knows the rules. The address for callers is opened
 // only afterwards, because a host without rules would refuse every request. The
--- a/hostlog/record.go
+++ b/hostlog/record.go
@@ -41,6 +41,18 @@
 	First   int64    `json:"first"`
 	Next    int64    `json:"next"`
 	Records []Record `json:"records"`
+	// End is the position after the last record of the log when the page was read, in the
+	// current era, or 0 if the platform does not tell it.
+	End int64 `json:"end,omitempty"`
+}
+
+// ReachesEnd reports whether the log had no further records when the page was read. If the
+// platform does not tell its end, only a page without records is known to reach it.
+func (p Page) ReachesEnd() bool {
+	if p.End > 0 {
+		return p.Next >= p.End
+	}
+	return len(p.Records) == 0
 }
 
 // Role is what runs on a host.
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -119,6 +119,9 @@
 	}
 	page.First = hostlog.Position(era, page.First)
 	page.Next = hostlog.Position(era, page.Next)
+	if page.End > 0 {
+		page.End = hostlog.Position(era, page.End)
+	}
 	for i, r := range page.Records {
 		page.Records[i].Offset = hostlog.Position(r.Era, r.Offset)
 	}
@@ -168,6 +171,9 @@
 	if err := json.Unmarshal(resp.Body, &out); err != nil {
 		return nil, "", &Error{Op: "hosts", Kind: KindUnavailable, Cause: err}
 	}
+	if out.Hosts == nil {
+		return nil, "", &Error{Op: "hosts", Kind: KindUnavailable, Cause: errors.New("got no list of hosts")}
+	}
 	return out.Hosts, resp.Header("ETag"), nil
 }
 
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -51,7 +51,11 @@
 	Version  rule.Version `json:"version"`
 	ReadTo   int64        `json:"read_to"`
 	Complete bool         `json:"complete"`
-	LastRead time.Time    `json:"last_read"`
+	// Known is set once the newest rule file as of some time after the start is known, or
+	// that there is none: the log was read to its end, or a peer's snapshot was applied.
+	Known bool `json:"known"`
+	// LastRead is when the log was last read to its end.
+	LastRead time.Time   `json:"last_read"`
 	Lease    lease.State  `json:"lease"`
 	// Holds is set if this host may act as the holder of the lease.
 	Holds bool `json:"holds"`
@@ -99,6 +103,7 @@
 	s.Version = f.Current().Version
 	s.ReadTo = f.rules.ReadTo()
 	s.Complete = f.rules.Complete()
+	s.Known = f.restored && s.Version > 0 || s.Complete && !s.LastRead.IsZero()
 	s.Lease = f.elector.State()
 	_, s.Holds = f.elector.Holds(time.Now())
 	return s
@@ -213,12 +218,13 @@
 		next := int64(1)
 		for ctx.Err() == nil {
 			page, err := l.Read(next, f.opts.Limit, f.opts.Wait)
-			f.setReadResult(err)
 			if err != nil {
+				f.setFailure(err)
 				f.waitRetry(ctx)
 				continue
 			}
 			next = f.applyPage(page, next, o)
+			f.recordRead(page)
 		}
 		done <- nil
 	}()
@@ -234,16 +240,21 @@
 	}
 }
 
-// setReadResult updates the state after a read of the log.
-func (f *Follower) setReadResult(err error) {
+// setFailure updates the state after a read of the log that failed.
+func (f *Follower) setFailure(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Failure = err.Error()
+}
+
+// recordRead updates the state after a page of the log was applied.
+func (f *Follower) recordRead(page hostlog.Page) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err != nil {
-		f.state.Failure = err.Error()
-		return
-	}
 	f.state.Failure = ""
-	f.state.LastRead = time.Now()
+	if page.ReachesEnd() {
+		f.state.LastRead = time.Now()
+	}
 }
 
 // applyPage applies a page that was requested from an offset, and returns the
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -184,7 +184,7 @@
 	from = max(from, p.firstOffset)
 	start := min(int(from-p.firstOffset), len(p.records))
 	end := min(start+limit, len(p.records))
-	page := hostlog.Page{First: p.firstOffset, Next: p.firstOffset + int64(end), Records: []hostlog.Record{}}
+	page := hostlog.Page{First: p.firstOffset, Next: p.firstOffset + int64(end), End: p.firstOffset + int64(len(p.records)), Records: []hostlog.Record{}}
 	for _, stored := range p.records[start:end] {
 		page.Records = append(page.Records, stored.record)
 	}
