--- a/publication/follower.go
+++ b/publication/follower.go
@@ -56,7 +56,7 @@
 	Known bool `json:"known"`
 	// LastRead is when the log was last read to its end.
 	LastRead time.Time   `json:"last_read"`
-	Lease    lease.State  `json:"lease"`
+	Lease    lease.State `json:"lease"`
 	// Holds is set if this host may act as the holder of the lease.
 	Holds bool `json:"holds"`
 	// Failure is the error of the last read, or "" if it succeeded.
