One strict reader decides what is an answer

Callers got bytes that were no answer: heads with a blank in the name of a field, with that line passed on or with a body that was not the replica's; natively also status 000.

Cause: net/http in replicahttp and fasthttp, twice, in jsonhttp decided on their own what is an answer. Each accepts more than the protocol allows, and not the same.

Change: http1.ReadResponse reads all answers: of replicas, engines, services, reports, orders, the store, the platform, the directory.

--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -56,6 +56,9 @@
 	// failureStatus is the status with which the replica fails requests after it has run
 	// them, or 0 if it doesn't fail.
 	failureStatus int
+	// rawAnswer is what the replica sends to requests at once, in place of an answer, before it
+	// resets the connection; "" if it answers as usual.
+	rawAnswer string
 	// repeats records the requests, unless it is nil.
 	repeats *repeats
 	// hung lets the engine answer nothing, also on streams that have begun. streams counts
@@ -175,6 +178,7 @@
 	case req.URL.Path == "/api/report":
 		r.awaitHang(req)
 		_, _ = fmt.Fprintf(w, `{"sequence":%d,"pace":1,"kv_total":100}`, len(r.receivedOrders()))
+	case r.answerRaw(w):
 	case r.failAfterRun(w, req):
 	case req.Header.Get("X-Bulrushshed-Hop-Count") != "":
 		r.stream(w, req)
@@ -235,6 +239,27 @@
 	return true
 }
 
+// answerRaw sends rawAnswer and resets the connection, if the replica has one.
+func (r *replicaStandIn) answerRaw(w http.ResponseWriter) bool {
+	r.mu.Lock()
+	text := r.rawAnswer
+	r.mu.Unlock()
+	hijacker, ok := w.(http.Hijacker)
+	if text == "" || !ok {
+		return false
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return true
+	}
+	_, _ = io.WriteString(conn, text)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+	return true
+}
+
 // set changes how the replica answers.
 func (r *replicaStandIn) set(change func(r *replicaStandIn)) {
 	r.mu.Lock()
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -1,15 +1,16 @@
 package jsonhttp
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
 
@@ -63,8 +64,11 @@
 	return ""
 }
 
+// errTooLarge means that the body of a response exceeds Options.MaxResponseBytes.
+var errTooLarge = errors.New("response body is too large")
+
 // IsTooLarge reports whether a response exceeded Options.MaxResponseBytes.
-func IsTooLarge(err error) bool { return errors.Is(err, fasthttp.ErrBodyTooLarge) }
+func IsTooLarge(err error) bool { return errors.Is(err, errTooLarge) }
 
 // Options limit a client's connections and responses.
 type Options struct {
@@ -72,13 +76,9 @@
 	// Dial opens connections; nil opens them directly. No byte may have been sent if it
 	// fails.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// MaxConnsPerHost limits the concurrent connections of Do and Call to one
-	// address.
-	MaxConnsPerHost int
 	// MaxResponseBytes is the maximum size of the body of a complete response.
 	MaxResponseBytes int
-	// TLS configures Do and Call for https URLs; nil means the default
-	// configuration.
+	// TLS is the configuration for https URLs; nil means the default one.
 	TLS *tls.Config
 }
 
@@ -86,7 +86,6 @@
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout:      time.Second,
-		MaxConnsPerHost:  4096,
 		MaxResponseBytes: 4 << 20,
 	}
 }
@@ -94,39 +93,42 @@
 // Client sends requests; it is safe for concurrent use.
 type Client struct {
 	opts Options
-	http *fasthttp.Client
 }
 
-// dialError marks errors that occur before the first byte of a request is sent.
-type dialError struct{ error }
-
 // NewClient returns a client that never retries a request.
-func NewClient(o Options) *Client {
-	return &Client{opts: o, http: &fasthttp.Client{
-		MaxConnsPerHost:           o.MaxConnsPerHost,
-		MaxResponseBodySize:       o.MaxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:  true,
-		TLSConfig:                 o.TLS,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := o.dial(context.Background(), address)
-			if err != nil {
-				return nil, dialError{err}
-			}
-			return conn, nil
-		},
-	}}
-}
+func NewClient(o Options) *Client { return &Client{opts: o} }
 
-// dial opens a connection within DialTimeout.
-func (o Options) dial(ctx context.Context, address string) (net.Conn, error) {
+// dial opens a connection to the server of a URL within DialTimeout.
+func (o Options) dial(ctx context.Context, uri *fasthttp.URI) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
 	defer cancel()
+	connect := DialDirect
 	if o.Dial != nil {
-		return o.Dial(ctx, address)
+		connect = o.Dial
+	}
+	address := string(uri.Host())
+	conn, err := connect(ctx, address)
+	if err != nil || string(uri.Scheme()) != "https" {
+		return conn, err
+	}
+	return o.startTLS(ctx, conn, address)
+}
+
+// startTLS returns an encrypted connection to the server at an address.
+func (o Options) startTLS(ctx context.Context, conn net.Conn, address string) (net.Conn, error) {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12}
+	if o.TLS != nil {
+		cfg = o.TLS.Clone()
+	}
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		cfg.ServerName = cmp.Or(cfg.ServerName, host)
+	}
+	secure := tls.Client(conn, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
-	return DialDirect(ctx, address)
+	return secure, nil
 }
 
 // DialDirect opens a TCP connection.
@@ -152,37 +154,14 @@
 	Status      int
 	ContentType string
 	Body        []byte
-	header      fasthttp.ResponseHeader
+	header      http.Header
 }
 
 // Header returns the first value of a header of the response.
-func (r *Response) Header(name string) string { return string(r.header.Peek(name)) }
-
-// Do sends a request and returns the complete response, whatever its status. Each
-// request has a connection of its own: a server that responds twice cannot be noticed
-// before its second response is taken for that of the next request.
-func (c *Client) Do(r Request) (*Response, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	r.copyTo(req)
-	req.SetConnectionClose()
-	if err := c.http.Do(req, resp); err != nil {
-		return nil, classify(r, err)
-	}
-	return newResponse(resp), nil
-}
+func (r *Response) Header(name string) string { return r.header.Get(name) }
 
-func newResponse(resp *fasthttp.Response) *Response {
-	out := &Response{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
-	}
-	resp.Header.CopyTo(&out.header)
-	return out
-}
+// Do is Exchange without a context.
+func (c *Client) Do(r Request) (*Response, error) { return c.Exchange(context.Background(), r) }
 
 func (r Request) copyTo(req *fasthttp.Request) {
 	req.Header.SetMethod(r.Method)
@@ -191,18 +170,7 @@
 		req.Header.Set(k, v)
 	}
 	req.SetBodyRaw(r.Body)
-	req.SetTimeout(r.Timeout)
-}
-
-// classify returns the error of a failed exchange, whose kind tells whether the
-// request may have reached the server.
-func classify(r Request, err error) *Error {
-	kind := KindNoAnswer
-	var dial dialError
-	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		kind = KindNotSent
-	}
-	return &Error{Op: r.op(), Kind: kind, Cause: eris.Wrap(err, "exchange")}
+	req.SetConnectionClose()
 }
 
 // Call sends in as JSON, unless it is nil, and decodes the response into out,
--- a/jsonhttp/doc.go
+++ b/jsonhttp/doc.go
@@ -1,13 +1,12 @@
 // Package jsonhttp is the HTTP client on which the clients of the other packages, such
 // as enginehttp, are built.
 //
-// A [Client] has four methods: Call sends and receives JSON, Do returns any complete
-// response, Exchange does so on a new connection, and Open returns the response as
-// a [Stream] that is read as it arrives.
+// A [Client] sends each request on a connection of its own, and never retries one. Call
+// sends and receives JSON, Exchange and Do return any complete response, and Open returns
+// the response as a [Stream] that is read as it arrives. Package http1 decides what is a
+// response and what is a whole one.
 //
-// The client never retries a request. fasthttp by default retries some requests
-// when a keep-alive connection closes, so its retries are disabled. The kind of
-// each error tells whether the request may have reached the server: an error has
-// [KindNotSent] only if no byte of the request left this host. What a status means
-// is left to the packages that use the client.
+// The kind of each error tells whether the request may have reached the server: an error
+// has [KindNotSent] only if no byte of the request left this host. What a status means is
+// left to the packages that use the client.
 package jsonhttp
--- a/jsonhttp/stream.go
+++ b/jsonhttp/stream.go
@@ -5,10 +5,13 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"bulrushshed/http1"
 )
 
 // Stream is a response whose body is read as it arrives, on a connection of its
@@ -16,7 +19,7 @@
 // Open is done, a pending Read fails.
 type Stream struct {
 	Status int
-	resp   *fasthttp.Response
+	resp   *http.Response
 	conn   *countingConn
 	// detach stops the context from closing the connection.
 	detach func() bool
@@ -55,10 +58,10 @@
 }
 
 // Header returns the first value of a header of the response.
-func (s *Stream) Header(name string) string { return string(s.resp.Header.Peek(name)) }
+func (s *Stream) Header(name string) string { return s.resp.Header.Get(name) }
 
 // ContentLength returns the announced length of the body, or a negative number.
-func (s *Stream) ContentLength() int { return s.resp.Header.ContentLength() }
+func (s *Stream) ContentLength() int { return int(s.resp.ContentLength) }
 
 // Read reads the next bytes of the body.
 func (s *Stream) Read(p []byte) (int, error) {
@@ -67,7 +70,7 @@
 			return 0, err
 		}
 	}
-	n, err := s.resp.BodyStream().Read(p)
+	n, err := s.resp.Body.Read(p)
 	s.pace.read += n
 	return n, err
 }
@@ -77,72 +80,72 @@
 	s.detach()
 	// The rest of the response is discarded, so an error has no consequence.
 	_ = s.conn.Close()
-	fasthttp.ReleaseResponse(s.resp)
 }
 
 // Open sends a request on a new connection and returns once the status line and
 // the headers of the response have arrived; r.Timeout limits the time until then.
 // The caller must close the stream.
 func (c *Client) Open(ctx context.Context, r Request) (*Stream, error) {
-	return c.open(ctx, r, true)
+	s, err := c.open(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.conn.SetDeadline(time.Time{}); err != nil {
+		s.Close()
+		return nil, r.noAnswer(err)
+	}
+	s.pace = pace{minRate: r.MinBodyRate, gap: r.Timeout, start: time.Now()}
+	return s, nil
 }
 
 // Exchange sends a request on a new connection and returns the complete response,
 // whatever its status. The connection is new because a request sent on an idle
-// connection is lost if the server has just closed it. r.Timeout limits the whole
-// exchange.
+// connection is lost if the server has just closed it, and because a server that responds
+// twice can't be noticed before its second response is taken for that of the next request.
+// r.Timeout limits the whole exchange.
 func (c *Client) Exchange(ctx context.Context, r Request) (*Response, error) {
-	s, err := c.open(ctx, r, false)
+	s, err := c.open(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	defer s.Close()
-	return newResponse(s.resp), nil
+	body, err := s.readBody(c.opts.MaxResponseBytes)
+	if err != nil {
+		return nil, r.noAnswer(err)
+	}
+	return &Response{Status: s.Status, ContentType: s.Header("Content-Type"), Body: body, header: s.resp.Header}, nil
 }
 
-func (c *Client) open(ctx context.Context, r Request, stream bool) (*Stream, error) {
+// open sends a request and returns the response once its head has arrived. The deadline of
+// the connection is that of the request.
+func (c *Client) open(ctx context.Context, r Request) (*Stream, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	r.copyTo(req)
-	req.SetConnectionClose()
 	deadline := time.Now().Add(r.Timeout)
-	conn, err := c.dial(ctx, string(req.URI().Host()))
+	dialed, err := c.opts.dial(ctx, req.URI())
 	if err != nil {
 		return nil, &Error{Op: r.op(), Kind: KindNotSent, Cause: eris.Wrap(err, "dial")}
 	}
-	s := &Stream{conn: conn, resp: fasthttp.AcquireResponse()}
-	s.resp.StreamBody = stream
+	conn := &countingConn{Conn: dialed}
+	s := &Stream{conn: conn}
 	s.detach = context.AfterFunc(ctx, func() {
 		// Closing makes pending reads and writes fail; an error of Close
 		// itself has no consequence.
 		_ = conn.Close()
 	})
-	if err := s.exchange(req, deadline, c.opts.MaxResponseBytes); err != nil {
-		kind := KindNoAnswer
+	if err := s.exchange(req, deadline); err != nil {
+		s.Close()
 		if conn.written == 0 {
-			kind = KindNotSent
+			return nil, &Error{Op: r.op(), Kind: KindNotSent, Cause: eris.Wrap(err, "send")}
 		}
-		s.Close()
-		return nil, &Error{Op: r.op(), Kind: kind, Cause: eris.Wrap(err, "exchange")}
+		return nil, r.noAnswer(err)
 	}
-	s.Status = s.resp.StatusCode()
-	s.pace = pace{minRate: r.MinBodyRate, gap: r.Timeout, start: time.Now()}
 	return s, nil
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*countingConn, error) {
-	conn, err := c.opts.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn}, nil
-}
-
-var errNoBodyLength = eris.New("response has neither Content-Length nor chunked encoding, so its end can't be determined")
-
-// exchange writes the request and reads the response, or only its status line and
-// headers if the body is streamed.
-func (s *Stream) exchange(req *fasthttp.Request, deadline time.Time, maxBody int) error {
+// exchange writes the request and reads the head of the response.
+func (s *Stream) exchange(req *fasthttp.Request, deadline time.Time) (err error) {
 	if err := s.conn.SetDeadline(deadline); err != nil {
 		return err
 	}
@@ -153,30 +156,37 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	r := &eofReader{r: s.conn}
-	if err := s.resp.ReadLimitBody(bufio.NewReader(r), maxBody); err != nil {
+	s.resp, err = http1.ReadResponse(s.conn, string(req.Header.Method())) //nolint:bodyclose // Close closes the connection of the body
+	if err != nil {
 		return err
 	}
-	if !s.resp.StreamBody && r.sawEOF {
-		return errNoBodyLength
-	}
-	return s.conn.SetDeadline(time.Time{})
+	s.Status = s.resp.StatusCode
+	return nil
 }
 
-// eofReader records whether the underlying reader has returned io.EOF. A response
-// with a length or in chunks is read without reaching it.
-type eofReader struct {
-	r      io.Reader
-	sawEOF bool
-}
+var errNoBodyLength = eris.New("response has neither Content-Length nor chunked encoding, so its end can't be determined")
 
-// Read reads from the underlying reader.
-func (e *eofReader) Read(p []byte) (int, error) {
-	n, err := e.r.Read(p)
-	if err == io.EOF {
-		e.sawEOF = true
+// readBody reads the whole body, of at most limit bytes.
+func (s *Stream) readBody(limit int) ([]byte, error) {
+	if s.resp.Body == http.NoBody {
+		return nil, nil
 	}
-	return n, err
+	if s.resp.ContentLength > int64(limit) {
+		return nil, errTooLarge
+	}
+	if s.resp.ContentLength < 0 && len(s.resp.TransferEncoding) == 0 {
+		return nil, errNoBodyLength
+	}
+	body, err := io.ReadAll(io.LimitReader(s.resp.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
+// noAnswer returns the error for a request that may have reached the server.
+func (r Request) noAnswer(err error) *Error {
+	return &Error{Op: r.op(), Kind: KindNoAnswer, Cause: eris.Wrap(err, "exchange")}
 }
 
 func (r Request) op() string { return r.Method + " " + r.URL }
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -1,16 +1,16 @@
 package replicahttp
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"bulrushshed/http1"
 )
 
 // Kind classifies an Error.
@@ -46,11 +46,8 @@
 	// while the body is still being written, since a replica may respond before it
 	// has read a long body.
 	concurrentWriteBytes = 16 << 10
-	readBufferBytes      = 4 << 10
-	// maxHeaderBytes limits the header of a response, including interim responses.
-	maxHeaderBytes = 256 << 10
-	// maxInterimResponses is the maximum number of 1xx responses to skip.
-	maxInterimResponses = 4
+	// headBufferBytes is the size of a typical request header.
+	headBufferBytes = 4 << 10
 )
 
 // Dial opens a connection to an address. No byte may have been sent if it fails.
@@ -90,12 +87,13 @@
 }
 
 func roundTrip(conn net.Conn, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
-	request := head.AppendBytes(make([]byte, 0, readBufferBytes))
+	method := string(head.Method())
+	request := head.AppendBytes(make([]byte, 0, headBufferBytes))
 	if len(body) <= concurrentWriteBytes {
 		if _, err := conn.Write(append(request, body...)); err != nil {
 			return nil, err
 		}
-		return readFinalResponse(conn, head)
+		return http1.ReadResponse(conn, method)
 	}
 	if _, err := conn.Write(request); err != nil {
 		return nil, err
@@ -103,25 +101,7 @@
 	// The write ends at the latest when the connection is closed, which is together
 	// with the response body.
 	go func() { _, _ = conn.Write(body) }()
-	return readFinalResponse(conn, head)
-}
-
-func readFinalResponse(conn net.Conn, head *fasthttp.RequestHeader) (*http.Response, error) {
-	limited := &io.LimitedReader{R: conn, N: maxHeaderBytes}
-	r := bufio.NewReaderSize(limited, readBufferBytes)
-	req := &http.Request{Method: string(head.Method())}
-	for range maxInterimResponses {
-		resp, err := http.ReadResponse(r, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			// The body is read through the same buffer; its reader limits it.
-			limited.N = math.MaxInt64
-			return resp, nil
-		}
-	}
-	return nil, fmt.Errorf("got %d interim responses and no final one", maxInterimResponses)
+	return http1.ReadResponse(conn, method)
 }
 
 // connBody is a response body that closes its connection.
