A reset during an upload is no end of an answer

Callers got a part of an answer as all of it: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the system reports a reset once, to the read or to the write that comes first. If the write found it, the read returned an end like an orderly one, which is where an answer without a length is whole. A host that relays the connection had the same race.

Change: http1.Conn keeps the error with which the system broke a write off, and returns it in place of the end. replicahttp and the relay read through it.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 
+	"bulrushshed/http1"
 	"bulrushshed/relay"
 )
 
@@ -208,7 +209,8 @@
 // pipe copies bytes in both directions until the replica has ended the connection, the
 // other host has closed the stream, or ctx ends. The end of the connection is passed on as
 // what it was: an orderly end or a break.
-func (n *Node) pipe(ctx context.Context, s *quic.Stream, conn net.Conn) {
+func (n *Node) pipe(ctx context.Context, s *quic.Stream, direct net.Conn) {
+	conn := http1.NewConn(direct)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	requestEnd := make(chan struct{})
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -192,3 +192,31 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that passes for all of it: the replica resets the
+// connection while the relaying host writes an upload to it, so that the write finds the
+// reset and the read an end.
+func TestRelayedResetDuringTheUploadIsNoEnd(t *testing.T) {
+	t.Parallel()
+	f := newRelayFixture(t, "127.0.18", tcpRelay{})
+	for range 300 {
+		f.accept(func(conn net.Conn) {
+			_, _ = bufio.NewReader(conn).ReadString('\n')
+			_, _ = io.WriteString(conn, "half")
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // closes with a reset
+			}
+			_ = conn.Close()
+		})
+		conn := f.connectAndGreet(t)
+		uploaded := make(chan struct{})
+		go func() {
+			defer close(uploaded)
+			_, _ = conn.Write(make([]byte, 8<<20))
+		}()
+		_, err := io.ReadAll(conn)
+		is.New(t).True(err != nil)
+		is.New(t).NoErr(conn.Close())
+		<-uploaded
+	}
+}
--- a/replicahttp/exchange.go
+++ b/replicahttp/exchange.go
@@ -61,7 +61,7 @@
 		return nil, &Error{Op: "dial", Kind: KindNotSent, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	resp, err := roundTrip(conn, head, body)
+	resp, err := roundTrip(http1.NewConn(conn), head, body)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -86,7 +86,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func roundTrip(conn net.Conn, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
+func roundTrip(conn *http1.Conn, head *fasthttp.RequestHeader, body []byte) (*http.Response, error) {
 	method := string(head.Method())
 	request := head.AppendBytes(make([]byte, 0, headBufferBytes))
 	if len(body) <= concurrentWriteBytes {
