--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,6 +103,10 @@
 	// joined is set once, when the host starts to serve callers. Before that the
 	// host is not announced to the platform.
 	joined atomic.Bool
+	// requestCtx is the parent context of all requests, and interrupt ends it. They end by
+	// their own deadlines or by the drain, and not when the signal to stop arrives.
+	requestCtx context.Context
+	interrupt  context.CancelFunc
 	// draining is set once, when a graceful shutdown begins.
 	draining atomic.Bool
 	// closing is set once, when no further requests are accepted.
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -34,6 +34,14 @@
 	platform *platformhttp.Client
 	size     int
 	network  int
+	// hosts are the hosts of the fleet.
+	hosts []*fleetHost
+}
+
+// fleetHost is one host of a fleet. ended is closed once it has ended.
+type fleetHost struct {
+	stop  context.CancelFunc
+	ended chan struct{}
 }
 
 // lastNetwork is the second octet of the last fleet's addresses. Each fleet has
@@ -65,7 +73,7 @@
 	p := standin.NewPlatform(standin.PlatformOptions{
 		AppendRate: 300, Retention: 10 * time.Minute, HostListDelay: time.Second, HostTTL: 5 * time.Second,
 	})
-	done := make(chan error, n+1)
+	done := make(chan error, 1)
 	go func() { done <- standin.Listen(ctx, p.App(), platformAddress) }()
 	ca, err := keys.NewCA(time.Now())
 	must(b, err)
@@ -76,13 +84,22 @@
 		for _, c := range configure {
 			c(i, injector)
 		}
-		go func() { done <- daemon.Run(ctx, injector) }()
+		hostCtx, stop := context.WithCancel(ctx)
+		h := &fleetHost{stop: stop, ended: make(chan struct{})}
+		f.hosts = append(f.hosts, h)
+		go func() {
+			defer close(h.ended)
+			if err := daemon.Run(hostCtx, injector); err != nil {
+				b.Error(err)
+			}
+		}()
 	}
 	b.Cleanup(func() {
 		cancel()
-		for range n + 1 {
-			<-done
+		for _, h := range f.hosts {
+			<-h.ended
 		}
+		<-done
 	})
 	return f
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -135,6 +135,7 @@
 		requestMemory:   intake.NewLedger(max(cfg.Limits.RequestMemoryMB<<20, minRequestMemory*cfg.Limits.BodyBytes)),
 		platform:        platformhttp.NewClient(cfg.PlatformURL, t.Platform.D()),
 	}
+	d.requestCtx, d.interrupt = context.WithCancel(context.Background())
 	d.reportClosed = ingresshttp.ReportClosed(d.meter, log)
 	d.dialer = newDialer(d, do.MustInvoke[DirectDial](i))
 	d.connector = relay.NewConnector(d.dialer, d.isEndpoint)
@@ -220,10 +221,7 @@
 func newCallerServer(i do.Injector) (*caller.Server, error) {
 	d := do.MustInvoke[*Daemon](i)
 	l, t := d.cfg.Limits, d.cfg.Times
-	// Requests end by their own deadlines or by the daemon's drain, and not when
-	// the signal to stop arrives.
-	ctx := context.Background()
-	return caller.NewServer(ctx, caller.Options{
+	return caller.NewServer(d.requestCtx, caller.Options{
 		MaxBodyBytes: l.BodyBytes, MaxPromptBytes: l.PromptBytes, MaxTokens: l.Tokens, KeysPerFetch: l.KeysPerFetch,
 		EntriesValid: t.EntriesValid.D(), FirstTokenWait: firstTokenWait, Ledger: d.requestMemory,
 		HeaderTimeout: t.Read.D(), Connections: ingresshttp.ConnectionOptions{
