hosted: requests left at the end of the grace are answered

Requests that were with their replicas at the end of the grace ended with the process, without an answer. Late requests were refused before, too, also while callers go on.

--- a/daemon/hosted/host.go
+++ b/daemon/hosted/host.go
@@ -51,8 +51,10 @@
 	maxCustomers = 100
 	maxClasses   = 600
 	// drainExitMargin is how long before the end of the grace period,
-	// settings.Host.Grace, a stopping host stops waiting for requests in flight.
+	// settings.Host.Grace, a stopping host stops waiting for requests in flight, and
+	// drainAnswerTime how long it then waits until they are answered as interrupted.
 	drainExitMargin = 350 * time.Millisecond
+	drainAnswerTime = 150 * time.Millisecond
 	// drainAcceptFraction is the fraction of the grace period in which a stopping
 	// host accepts requests. Requests accepted later could not finish in time.
 	drainAcceptFraction = 0.28
@@ -116,6 +118,9 @@
 	listen  Listen
 	// listener accepts the connections of callers; serve sets it.
 	listener net.Listener
+	// requestCtx is the parent context of all requests, and interrupt ends it.
+	requestCtx context.Context
+	interrupt  context.CancelFunc
 }
 
 // Table implements forward.Tables. It returns no table until the replica list
--- a/daemon/hosted/replica_standin_test.go
+++ b/daemon/hosted/replica_standin_test.go
@@ -61,7 +61,11 @@
 	rawAnswer string
 	// repeats records the requests, unless it is nil.
 	repeats *repeats
-	// hung lets the engine answer nothing, also on streams that have begun. streams counts
+	// workTime is how long the replica works on a plain request, and working counts those
+	// that it works on.
+	workTime time.Duration
+	working  int
+	// hung lets the replica answer nothing, also on streams that have begun. streams counts
 	// the streams that it received.
 	hung    bool
 	streams int
@@ -188,7 +192,12 @@
 	default:
 		r.mu.Lock()
 		r.credentials = append(r.credentials, req.Header.Get("Authorization")+req.Header.Get("X-Bulrushshed-Tenant"))
+		workTime := r.workTime
+		r.working++
 		r.mu.Unlock()
+		defer r.set(func(r *replicaStandIn) { r.working-- })
+		r.awaitHang(req)
+		time.Sleep(workTime)
 		r.writeSignatureHeaders(w, req)
 		_, _ = io.WriteString(w, "stock")
 	}
--- a/daemon/hosted/wire.go
+++ b/daemon/hosted/wire.go
@@ -60,6 +60,8 @@
 		listen:    do.MustInvoke[Listen](i),
 		bounds:    newConnectionBounds(cfg, accept.DescriptorLimit(settings.MaxDescriptors)),
 	}
+	// Requests end by their own deadlines or at the end of the grace period.
+	h.requestCtx, h.interrupt = context.WithCancel(context.Background())
 	h.reportClosed = ingresshttp.ReportClosed(h.meter, h.log)
 	h.store = platform.NewStore(platform.StoreOptions{
 		Address: cfg.StoreAddress, Timeout: storeTimeout, MaxRecordBytes: maxRecordBytes(cfg), ObserveEra: h.observeEra,
@@ -108,7 +110,7 @@
 		Budget:  h.retries,
 		Counter: h.meter, Log: h.log,
 	})}
-	return ingresshttp.NewServer(context.Background(), ingresshttp.Options{
+	return ingresshttp.NewServer(h.requestCtx, ingresshttp.Options{
 		DecodeHeader: platform.DecodeRequest, Screen: next.Screen, IsForwarded: platform.IsForwardedHeader, Stopping: h.stopping.Load,
 		Ledger: h.ledger, BodyPace: intake.Pace{Grace: h.cfg.BodyGrace.D(), BytesPerSecond: h.cfg.BodyBytesPerSecond}, CountRefusal: h.meter.Refused,
 		Limits: h.callerLimits, Connections: h.callerConnections(),
