Answers without end hold little memory

Report of other operators: a faulty replica sent bytes without end, and the machine that kept them ran out of memory, with the requests of others.

--- a/enginehttp/client.go
+++ b/enginehttp/client.go
@@ -76,9 +76,13 @@
 func NewClient(callTimeout time.Duration, limits LimitRecorder, dial Dial) *Client {
 	opts := jsonhttp.DefaultOptions()
 	opts.Dial = dial
+	opts.MaxResponseBytes = maxCallBytes
 	return &Client{http: jsonhttp.NewClient(opts), callTimeout: callTimeout, limits: limits}
 }
 
+// maxCallBytes bounds the body of a response that is not a stream.
+const maxCallBytes = 256 << 10
+
 // eventBuffer is the number of events buffered for a slow caller before the
 // client stops reading from the engine.
 const eventBuffer = 16
--- a/overload/clients_test.go
+++ b/overload/clients_test.go
@@ -1,11 +1,13 @@
 package overload_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -185,6 +187,26 @@
 	return clientSet{n: n, run: func(_ context.Context, conn net.Conn) { awaitClose(conn) }}
 }
 
+// requesters send a request again and again, and read the answers.
+func requesters(n int, request string) clientSet {
+	return clientSet{n: n, run: func(_ context.Context, conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for {
+			if _, err := io.WriteString(conn, request); err != nil {
+				return
+			}
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+			_ = resp.Body.Close()
+		}
+	}}
+}
+
 // nonReaders returns clients that send a request and never read its answer. The small
 // receive buffer leaves the answer to the sender. As they do not read, they do not notice
 // that a connection is closed, and do not connect again.
--- a/overload/host_test.go
+++ b/overload/host_test.go
@@ -103,6 +103,17 @@
 	s.testAttack(t, f.address, nonReaders(300, hostHead("GET", "/stock/large")+"\r\n"))
 }
 
+// Guards against memory for answers of faulty replicas that have no end, in their heads or
+// their bodies.
+func TestHostHoldsAnswersWithoutEnd(t *testing.T) {
+	s, f := newHost(t, smallHostMemoryMB, manyDescriptors)
+	var sets []clientSet
+	for name := range endlessAnswers {
+		sets = append(sets, requesters(60, hostHead("GET", "/stock/endless/"+name)+"\r\n"))
+	}
+	s.testAttack(t, f.address, sets...)
+}
+
 // Guards against body buffers that are kept with idle connections (review case 2).
 func TestHostHoldsIdleConnectionsAfterLargeBodies(t *testing.T) {
 	s, f := newHost(t, hostMemoryMB, manyDescriptors)
--- a/overload/platform_standin_test.go
+++ b/overload/platform_standin_test.go
@@ -276,6 +276,8 @@
 		for id := 1; id <= streamEvents && req.Context().Err() == nil; id++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, filler[:eventBytes])
 		}
+	case strings.Contains(req.URL.Path, "/endless/"):
+		r.answerWithoutEnd(w, req.URL.Path)
 	default:
 		_, _ = io.Copy(io.Discard, req.Body)
 		if strings.HasSuffix(req.URL.Path, "/large") {
@@ -286,6 +288,34 @@
 	}
 }
 
+// endlessAnswers has, by the last part of a path, how an answer without end begins and what it
+// repeats.
+var endlessAnswers = map[string]struct{ start, repeated string }{
+	"line":   {"HTTP/1.1 200 OK\r\nX: ", "x"},
+	"fields": {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+	"none":   {"", "\x00"},
+	"body":   {"HTTP/1.1 200 OK\r\nX-Bulrushshed-Server-Seal: s\r\n\r\n", "x"},
+	"chunk":  {"HTTP/1.1 200 OK\r\nX-Bulrushshed-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n", "x"},
+}
+
+// answerWithoutEnd sends bytes until the connection is closed.
+func (r *replica) answerWithoutEnd(w http.ResponseWriter, path string) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	a := endlessAnswers[path[strings.LastIndexByte(path, '/')+1:]]
+	_, err = io.WriteString(conn, a.start)
+	for block := strings.Repeat(a.repeated, 4096); err == nil; {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 func (r *replica) order(w http.ResponseWriter, req *http.Request) {
 	var in struct{ From, Target int }
 	_ = json.NewDecoder(req.Body).Decode(&in)
