ingresshttp: an answer that can't be read is not framed as whole

If the body of an answer could not be read, callers got its status and fields with an empty body, framed as whole. The forwarder reads plain answers completely before, so no caller can have seen it; found while looking for the cause of the report of half heads, which did not get through here. Callers get 502 now.

TestUnreadableAnswerIsNotWhole failed before (200) and passes.

--- a/ingresshttp/server.go
+++ b/ingresshttp/server.go
@@ -271,6 +271,9 @@
 	_ = resp.Body.Close()
 	if err != nil {
 		s.opts.Log.Warn("ingress: reading the response body failed, closing the connection", "cause", err.Error())
+		// The status and the header fields belong to an answer that is not whole.
+		ctx.Response.Reset()
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		ctx.SetConnectionClose()
 		return
 	}
--- a/ingresshttp/server_test.go
+++ b/ingresshttp/server_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -345,6 +346,23 @@
 	}
 }
 
+// Guards against an answer whose body could not be read and that passes for a whole one, with
+// the status and the fields of the replica and an empty body.
+func TestUnreadableAnswerIsNotWhole(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := &recordingForwarder{respond: func(context.Context) *forward.Response {
+		broken := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		return &forward.Response{Status: 200, Body: io.NopCloser(broken), Header: []forward.Field{{Name: "X-Kept", Value: "1"}}}
+	}}
+	conn := dial(t, serve(t, h, notStopping), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(resp.Header.Get("X-Kept"), "")
+	is.NoErr(resp.Body.Close())
+}
+
 // A stopping host that exits once its forwarder has returned would cut off the answers
 // that are still being written.
 func TestRequestIsActiveUntilItsAnswerIsWritten(t *testing.T) {
