--- a/daemon/hosted/gossip.go
+++ b/daemon/hosted/gossip.go
@@ -46,8 +46,8 @@
 	added chan struct{}
 	// sends counts the exchanges that are running.
 	sends sync.WaitGroup
-	// replied is set once another host has replied to an exchange. known is closed then,
-	// or when requests no longer wait for that.
+	// replied is set once another host has replied to an exchange with all that this host
+	// lacked. known is closed then, or when requests no longer wait for that.
 	replied   atomic.Bool
 	known     chan struct{}
 	closeOnce sync.Once
@@ -141,8 +141,8 @@
 	f.markKnown()
 }
 
-// catchUp asks other hosts for their findings until one of them has replied. They do
-// not accept this host before they know that it is a member.
+// catchUp asks other hosts for their findings until one of them has replied with all that
+// this host lacks. They do not accept this host before they know that it is a member.
 func (f *findings) catchUp(ctx context.Context) {
 	select {
 	case <-f.host.group.joined:
--- a/gossip/exchanger.go
+++ b/gossip/exchanger.go
@@ -25,8 +25,8 @@
 
 // Send sends an exchange to the host at an address and merges the items that it
 // returns. If that host lacks items, too, they are sent in a second exchange. Send
-// reports whether the host replied.
-func (e *Exchanger) Send(ctx context.Context, address string, x Exchange) (replied bool) {
+// reports whether the host replied with all items that this host lacked.
+func (e *Exchanger) Send(ctx context.Context, address string, x Exchange) (whole bool) {
 	reply, err := e.Sender.Exchange(ctx, address, x)
 	if err != nil {
 		e.Log.Debug("gossip: exchange failed", "peer", address, "cause", err.Error())
@@ -37,13 +37,13 @@
 	}
 	e.Apply(ctx, e.Table.Merge(reply.Items, time.Now()), address)
 	if reply.Digest == nil {
-		return true
+		return !reply.Partial
 	}
 	missing := e.Table.Differing(*reply.Digest, time.Now())
 	if _, err := e.Sender.Exchange(ctx, address, missing); err != nil {
 		e.Log.Debug("gossip: exchange failed", "peer", address, "cause", err.Error())
 	}
-	return true
+	return !reply.Partial
 }
 
 // Answer merges the items of an exchange that the host at an address has sent, and
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -33,6 +33,9 @@
 	Items []Item `cbor:"i"`
 	// Digest is set on exchanges that look for missed items.
 	Digest *Digest `cbor:"d,omitempty"`
+	// Partial is set if the sender has further items that differ. Hosts of older builds do
+	// not tell it.
+	Partial bool `cbor:"p,omitempty"`
 }
 
 // Options configures a table.
@@ -187,6 +190,7 @@
 			continue
 		}
 		if size += itemSize(e.item); size > t.opts.MaxBytes && len(x.Items) > 0 {
+			x.Partial = true
 			break
 		}
 		x.Items = append(x.Items, e.withTimeLeft(now))
