--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -148,7 +148,7 @@
 		return causeUnstatedRefusal
 	case u.answer.Status != http.StatusOK || !u.answer.Signed:
 		s.failure = u.answer
-		return "failed_by_replica"
+		return causeFailedByReplica
 	}
 	a.answered = true
 	now := time.Now()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -154,7 +154,7 @@
 // gives up.
 func (p *plainCall) lastFailureOrGiveUp(cause string) *Response {
 	if p.lastFailure != nil {
-		p.finish(outcome.Answered, "failed_by_replica")
+		p.finish(outcome.Answered, causeFailedByReplica)
 		return p.lastFailure
 	}
 	return p.giveUp(cause)
@@ -184,14 +184,14 @@
 	err = bufferBody(p.ctx, a, p.req)
 	switch {
 	case err != nil:
-		result.retryable, result.cause, result.err = safe, "broken_body", err
+		result.retryable, result.cause, result.err = safe, causeBrokenBody, err
 	case a.Status < http.StatusMultipleChoices && !a.Signed:
-		result.retryable, result.cause = safe, "unsigned"
+		result.retryable, result.cause = safe, causeUnsigned
 	case outcome.PromisesNotRun(a.Status):
 		result.retryable, result.cause = safe, causeUnstatedRefusal
 	default:
 		result.resp = responseFrom(a)
-		result.retryable, result.cause = safe && a.Status >= minFailureStatus, "failed_by_replica"
+		result.retryable, result.cause = safe && a.Status >= minFailureStatus, causeFailedByReplica
 	}
 	return result
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -42,6 +42,12 @@
 	// causeUnstatedRefusal means that a replica answered with a status that promises that
 	// the request did not run, but did not state that it hadn't run it.
 	causeUnstatedRefusal = "unstated_refusal"
+	// causeFailedByReplica means that a replica answered with a failure, causeUnsigned that
+	// a successful answer lacks the replica's signature, and causeBrokenBody that the body of
+	// an answer could not be read.
+	causeFailedByReplica = "failed_by_replica"
+	causeUnsigned        = "unsigned"
+	causeBrokenBody      = "broken_body"
 	// causeNotSent means that the replica received nothing.
 	causeNotSent = "not_sent"
 	// causeBroken means that an answer broke off after its head, and causeBrokenAnswer
@@ -114,7 +120,7 @@
 	defer cancel()
 	s.endAttempt()
 	if s.failure != nil && s.failure.Signed {
-		c.finish(outcome.Answered, "failed_by_replica")
+		c.finish(outcome.Answered, causeFailedByReplica)
 		return responseFrom(s.failure)
 	}
 	switch {
