--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 skip := $(if $(red),-skip '^($(red))$$')
 
 # The packages with state shared between goroutines, tested with the race detector.
-shared := ./accept ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip \
-	./ingress ./ingresshttp ./intake ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica ./retrybudget ./serving ./usage
+shared := ./accept ./admit ./balance ./caller ./claim ./completion ./daemon/hosted ./delivery ./directory ./feed ./forward ./gossip ./http1 \
+	./ingress ./ingresshttp ./intake ./loop ./peer ./pipeline ./publication ./quarantine ./ratelimit ./relay ./replica ./replicahttp ./retrybudget ./serving ./usage
 
 .PHONY: build demo up test overload race lint prove bench fuzz hosted
 
