--- a/review/_rig3/world.go
+++ b/review/_rig3/world.go
@@ -25,6 +25,9 @@
 //go:embed config.tmpl
 var configText string
 
+//go:embed foreign.tmpl
+var foreignText string
+
 //go:embed entry.tmpl
 var entryText string
 
