--- a/review/_rig3/drain.go
+++ b/review/_rig3/drain.go
@@ -25,7 +25,7 @@
 	zones := []string{"a", "b", "c"}
 	var all []*replica
 	for i, z := range zones {
-		r := w.newReplica(fmt.Sprintf("p%d", i), "app", "", z)
+		r := w.newReplica(fmt.Sprintf("p%d", i), "app", z)
 		r.work = 60 * time.Millisecond
 		all = append(all, r)
 	}
--- a/review/_rig3/exit.go
+++ b/review/_rig3/exit.go
@@ -33,7 +33,7 @@
 	w.publish()
 	zones := []string{"a", "b", "c"}
 	for i, z := range zones {
-		w.newReplica(fmt.Sprintf("p%d", i), "app", "", z)
+		w.newReplica(fmt.Sprintf("p%d", i), "app", z)
 	}
 	for i := range rolledHosts {
 		w.newHost(fmt.Sprintf("h%d", i), zones[i%len(zones)])
--- a/review/_rig3/foreign.go
+++ b/review/_rig3/foreign.go
@@ -39,9 +39,9 @@
 	var wg sync.WaitGroup
 	var apps []*replica
 	for i, z := range []string{"a", "b", "c"} {
-		apps = append(apps, w.newReplica(fmt.Sprintf("app%d", i), "app", "", z))
+		apps = append(apps, w.newReplica(fmt.Sprintf("app%d", i), "app", z))
 		wg.Go(func() { apps[i].beat(stop) })
-		p := w.newReplica(fmt.Sprintf("pay%d", i), "pay", "", z)
+		p := w.newReplica(fmt.Sprintf("pay%d", i), "pay", z)
 		p.work = 60 * time.Millisecond
 		wg.Go(func() { p.beat(stop) })
 	}
--- a/review/_rig3/store.go
+++ b/review/_rig3/store.go
@@ -26,8 +26,6 @@
 	// members are those of the one group, in the order in which they joined.
 	members    []*member
 	generation int64
-	// down holds the addresses of the store that refuse all calls.
-	down map[string]bool
 	// conns are the open connections.
 	conns map[*quietConn]bool
 	// silent are the connections that have gone silent. They stay open.
@@ -43,7 +41,7 @@
 }
 
 func newStore() *store {
-	return &store{topics: map[string][]entry{}, changed: make(chan struct{}), down: map[string]bool{}, conns: map[*quietConn]bool{}}
+	return &store{topics: map[string][]entry{}, changed: make(chan struct{}), conns: map[*quietConn]bool{}}
 }
 
 // open starts a listener at which the store answers, and returns its address. Each host has its own.
@@ -58,16 +56,7 @@
 	mux.HandleFunc(names["join"], s.join)
 	mux.HandleFunc(names["leave"], s.leave)
 	mux.HandleFunc(names["owners"], s.owners)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down[address]
-		s.mu.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})}
+	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(quietListener{ln, s}) }()
 	return address
 }
@@ -133,12 +122,6 @@
 	return n
 }
 
-func (s *store) setDown(address string, down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down[address] = down
-}
-
 // put appends a record. An empty value deletes the key.
 func (s *store) put(topic, key, value string) {
 	s.mu.Lock()
