--- a/review/_rig3/world.go
+++ b/review/_rig3/world.go
@@ -117,12 +117,16 @@
 	settings                              string
 }
 
-// freePort returns an address with a free port below the range from which the system takes those of clients, so that
-// a host that is started again finds it free.
+// nextPort is the port that is tried next for a host. Ports of hosts are below the range from which the system takes
+// those of clients, so that a host that is started again finds its ports free.
+var nextPort = 20000 + rand.N(10000)
+
+// freePort returns an address with a free port that no other host has.
 func freePort(network string) string {
-	const first, count, tries = 20000, 10000, 100
+	const tries = 100
 	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.N(count))
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		if network == "udp" {
 			if c, err := net.ListenPacket(network, address); err == nil {
 				check(c.Close())
