--- a/review/_rig3/exit.go
+++ b/review/_rig3/exit.go
@@ -44,7 +44,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	stops, crashes := 0, 0
-	status := map[int]int{}
+	var requests []sentRequest
 	began := time.Now()
 	for i, h := range w.hosts {
 		wg.Go(func() {
@@ -54,11 +54,10 @@
 				var clients sync.WaitGroup
 				for n := range idleClients {
 					clients.Go(func() {
-						for _, code := range h.useTwice(fmt.Sprintf("%s-%d-%d", h.name, round, n), stopped) {
-							mu.Lock()
-							status[code]++
-							mu.Unlock()
-						}
+						sent := h.useTwice(fmt.Sprintf("%s-%d-%d", h.name, round, n), stopped)
+						mu.Lock()
+						defer mu.Unlock()
+						requests = append(requests, sent...)
 					})
 				}
 				time.Sleep(settleTime)
@@ -95,7 +94,7 @@
 	for start := range starts {
 		start()
 	}
-	w.note("answers by status, 0 for a connection that ended: %v", status)
+	w.noteRequests(requests)
 	w.note("%d stops, %d of them ended in a crash", stops, crashes)
 	if crashes > 0 {
 		w.noteCrash()
@@ -103,23 +102,47 @@
 	return crashes > 0
 }
 
-// useTwice sends a request on a new connection, and another one on the same some time after the stop. It returns
-// the statuses.
-func (h *host) useTwice(id string, stopped <-chan struct{}) (statuses []int) {
+// sentRequest is a request of a client with its answer.
+type sentRequest struct {
+	id     string
+	at     time.Time
+	answer answer
+}
+
+// useTwice sends a request on a new connection, and another one on the same some time after the stop.
+func (h *host) useTwice(id string, stopped <-chan struct{}) (sent []sentRequest) {
 	c, err := dial(h.front)
 	if err != nil {
 		return nil
 	}
 	defer func() { _ = c.Close() }()
-	a := c.do("POST", "/look/"+id, id, "key-ana", "x", 1000)
+	first := sentRequest{id: id, at: time.Now()}
+	first.answer = c.do("POST", "/look/"+id, id, "key-ana", "x", 1000)
 	<-stopped
-	statuses = []int{a.status}
-	if a.err != nil || a.close {
-		return statuses
+	if first.answer.err != nil || first.answer.close {
+		return []sentRequest{first}
 	}
 	time.Sleep(soonest + rand.N(latest-soonest))
-	a = c.do("POST", "/look/"+id, id+"b", "key-ana", "x", 1000)
-	return append(statuses, a.status)
+	second := sentRequest{id: id + "b", at: time.Now()}
+	second.answer = c.do("POST", "/look/"+id, second.id, "key-ana", "x", 1000)
+	return []sentRequest{first, second}
+}
+
+// noteRequests records what was sent, answered and run.
+func (w *world) noteRequests(all []sentRequest) {
+	w.mu.Lock()
+	runs := w.runs
+	w.mu.Unlock()
+	status := map[int]int{}
+	for _, r := range all {
+		ran := ""
+		for _, e := range runs[r.id] {
+			ran += fmt.Sprintf(" run by %s at %.3f", e.replica, e.at.Sub(w.t0).Seconds())
+		}
+		w.note("request %s sent at %.3f: status %d, error %v;%s", r.id, r.at.Sub(w.t0).Seconds(), r.answer.status, r.answer.err, ran)
+		status[r.answer.status]++
+	}
+	w.note("answers by status, 0 for a connection that ended: %v", status)
 }
 
 // noteCrash records the first lines that a host has written as it crashed.
